--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,913 @@
+// marbledyke: every decision of the gatherer.
+//
+// Invoked by a host (today src/wirehost/main.cpp): it creates one Choice for each instance from the
+// operators' terms and a seed, reports in each turn what has come in, and then pulls what is decided. The
+// interface is src/choice.h, the plain types are in src/model/. The ordinary path is the design of
+// docs/design.md: place_parts() and pick().
+//
+// Mechanisms beside the design (at most six):
+//   1. belief     a posterior of success for each replica; whether a doubtful one gets work is drawn from it
+//   2. pace       how slowly each replica answers for its load, and how long it has been silent
+//   3. copies     further sends: tries after failures, second copies of parts that are overdue, within a
+//   budget
+//   4. warm-up    what a cold replica may be sent: this gatherer's fair share of a budget over the window
+//   5. admission  pushing back at once what cannot be finished in time, least important first
+//   6. probes     asking after replicas that are in doubt
+#include "choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "model/hand.h"
+#include "model/slab.h"
+#include "model/terms.h"
+#include "model/window_count.h"
+
+namespace marbledyke {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double kMargin = 1.05;   // the design: the preferred replica keeps a part within 5%
+constexpr double kTieShare = 0.2;  // the design: and a fifth of the shard's recent parts above its fair share
+constexpr Span kRecent = 1s;       // the design: cost recently sent decays over this
+constexpr Span kShardMemory = 10s;      // over which a shard's recent parts are counted
+constexpr Span kFlowMemory = 5s;        // over which the ordinary flow to a replica is averaged
+constexpr Span kBeliefMemory = 6s;      // evidence about a replica fades over this
+constexpr double kPrior = 2;            // successes that a replica is credited with
+constexpr Span kSlack = 15ms;           // the last answer comes this long before the client leaves
+constexpr Span kGlance = 10ms;          // how often what is in hand is looked over
+constexpr double kOverdue = 2.5;        // a send is overdue at this multiple of what was expected
+constexpr double kPaceGain = 0.2;       // weight of the newest answer in a replica's pace
+constexpr double kOwnFurther = 0.25;    // further sends a multiget or part taken, where no budget is stated
+constexpr double kOwnFurtherFree = 10;  // and in addition
+constexpr double kFill = 0.6;     // share of the latency budget an average multiget may be expected to need
+constexpr double kColdUse = 0.8;  // share of the warm-up budget that is used
+
+double seconds(Span s) { return static_cast<double>(s.count()) * 1e-6; }
+double micros(Span s) { return static_cast<double>(s.count()); }
+Span span(double us) { return Span(static_cast<std::int64_t>(us)); }
+double fade(Span age, Span memory) { return std::exp(-micros(age) / micros(memory)); }
+
+std::uint64_t mix(std::uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+std::uint64_t hash_text(std::string_view text) {
+  std::uint64_t h = 0xcbf29ce484222325ULL;
+  for (char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return mix(h);
+}
+
+}  // namespace
+
+struct Choice::Mind {
+  Mind(const Terms& terms, std::uint32_t seed)
+      : contract(terms),
+        chance(seed),
+        multigets(static_cast<std::size_t>(contract.at_least("limits.max-open", 1000, 1))),
+        parts(static_cast<std::size_t>(contract.at_least("limits.max-open", 1000, 1))) {
+    read_op_types();
+    call_cost = contract.at_least("specifics.overhead", 0, 0);
+    call_room = static_cast<int>(contract.at_least("specifics.bundle-max", 1, 1));
+    cells = static_cast<int>(contract.at_least("specifics.sets", 1, 1));
+    width = static_cast<int>(contract.at_least("specifics.width", 1, 1));
+    shards = static_cast<int>(contract.at_least("specifics.slabs", 1, 1));
+    most_sends =
+        static_cast<int>(std::min(contract.at_least("limits.attempts-cap", 1, 1), double{kMostSends}));
+    peers = contract.at_least("replicas-of-me", 1, 1);
+    for (int i = 0; contract.has("customers." + std::to_string(i) + ".name"); ++i) {
+      Customer c;
+      c.allowance = contract.at_least("customers." + std::to_string(i) + ".allowance-per-s", 0, 0) / peers;
+      c.tokens = c.allowance;
+      customers.push_back(c);
+    }
+    taken.set(contract.time("contract.resend-span", 10s));
+    further.set(contract.time("contract.resend-span", 10s));
+    by_cell.resize(static_cast<std::size_t>(cells));
+    const auto room = static_cast<std::size_t>(contract.number("limits.max-open", 1000));
+    hand.reserve(room);
+    pending.reserve(room * 2);
+    plan.reserve(room * 2);
+    withdrawals.reserve(room * 2);
+  }
+
+  void read_op_types() {
+    for (int i = 0;; ++i) {
+      const std::string at = "categories." + std::to_string(i) + ".";
+      const std::string place = "." + std::to_string(i);
+      if (!contract.has(at + "deadline")) break;
+      OpType op;
+      const std::string effect = contract.word(at + "effect", "once");
+      if (effect != "repeatable" && effect != "by_key" && effect != "once")
+        Contract::refuse(at + "effect", "unknown");
+      op.repeat = effect == "repeatable" ? Repeat::retriable
+                  : effect == "by_key"   ? Repeat::deduped
+                                         : Repeat::non_retriable;
+      op.route_timeout = contract.time(at + "deadline", 0s);
+      if (op.route_timeout <= 0s) Contract::refuse(at + "deadline", "must be above 0");
+      op.latency_budget = std::min(contract.time(at + "objective", op.route_timeout), op.route_timeout);
+      op.dedupe_window = contract.time(at + "key-ttl", 0s);
+      op.importance = contract.at_least(at + "worth", 1, 0);
+      op.late_share = contract.share(at + "late-share", 0);
+      op.floor = contract.share("specifics.class-floor" + place, 1);
+      op.need = contract.share("specifics.complete-from" + place, 1);
+      op.partial = contract.share("specifics.short-worth" + place, 0);
+      op.second_step = static_cast<int>(contract.at_least("specifics.second-step" + place, 0, 0));
+      op.part_work = std::max(2 * contract.at_least("specifics.overhead", 0, 0), 20'000.0);
+      op_types.push_back(op);
+    }
+    if (op_types.empty()) Contract::refuse("categories", "there is no op type");
+  }
+
+  // ---- what is known
+  // ------------------------------------------------------------------------------------------------
+
+  void clock(Span t) {
+    now = t;
+    verdict_cursor = 0;
+    planned = false;
+    if (wake_set && *wake_set <= now) wake_set.reset();
+  }
+
+  Replica* replica_of(std::string_view server) {
+    const auto at = by_server.find(server);
+    return at == by_server.end() ? nullptr : &replicas[static_cast<std::size_t>(at->second)];
+  }
+
+  void list_opens(bool whole, bool remembered) {
+    list_whole = whole;
+    list_remembered = remembered;
+    for (Replica& r : replicas) r.named = !whole;
+  }
+
+  void list_row(const ListRow& row) {
+    Replica* r = replica_of(row.server);
+    if (r == nullptr) {
+      by_server.emplace(row.server, static_cast<int>(replicas.size()));
+      r = &replicas.emplace_back();
+      r->server = row.server;
+      r->hash = hash_text(row.server);
+      r->pace = fleet_pace;
+      r->decayed_at = r->believed_at = now;
+      r->good = kPrior;
+    } else if (row.started != r->started && row.started) {
+      // A new start: what was learned is about a process that is gone.
+      r->good = kPrior;
+      r->bad = 0;
+      r->pace = fleet_pace;
+      r->believed_at = now;
+    }
+    r->zone = row.zone;
+    r->cell = std::clamp(row.cell, 0, cells - 1);
+    r->size = row.size > 0 ? row.size : 1;
+    r->standing = row.standing;
+    r->started = row.started;
+    r->named = true;
+  }
+
+  void list_closes() {
+    for (Replica& r : replicas) {
+      if (!r.named) r.standing = Standing::gone;  // absent from a whole list
+    }
+    for (auto& cell : by_cell) cell.clear();
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+      by_cell[static_cast<std::size_t>(replicas[i].cell)].push_back(static_cast<int>(i));
+    }
+    had.assign(replicas.size() * static_cast<std::size_t>(shards), 0.0);
+    candidates.reserve(replicas.size());
+    if (!list_remembered) {
+      watching = true;
+      asked_at.reset();
+      refusals = 0;
+    }
+  }
+
+  void list_refused() {
+    watching = false;
+    asked_at.reset();
+    // Spread out, so that gatherers refused together do not come back together.
+    const double wait = std::min(0.5 * std::pow(2.0, refusals++), 4.0);
+    ask_from = now + span(1e6 * wait * std::uniform_real_distribution<double>(0.5, 1.5)(chance));
+    note = "list call refused";
+  }
+
+  void multiget_taken(const MultigetAsk& ask) {
+    if (multigets.find(ask.id) >= 0) return;
+    const int place = multigets.take(ask.id);
+    Multiget& mg = multigets.at(place);
+    mg.number = ask.number;
+    mg.op_type = std::clamp(ask.op_type, 0, static_cast<int>(op_types.size()) - 1);
+    mg.customer = ask.customer;
+    mg.taken = now;
+    mg.last_moment = ask.client_leaves - kSlack;
+    mg.awaited = ask.parts;
+    mg.importance = op_types[static_cast<std::size_t>(mg.op_type)].importance * within_share(ask.customer);
+    hand.push_back(place);
+    taken.add(now);
+  }
+
+  // What a customer sends beyond its share of this gatherer's traffic is worth little.
+  double within_share(int customer) {
+    if (customer < 0 || customer >= static_cast<int>(customers.size())) return 1;
+    Customer& c = customers[static_cast<std::size_t>(customer)];
+    if (c.allowance <= 0) return 1;
+    c.tokens = std::min(c.tokens + c.allowance * seconds(now - c.filled), std::max(3.0, 3 * c.allowance));
+    c.filled = now;
+    if (c.tokens < 1) return contract.share("over-share-worth", 1);
+    c.tokens -= 1;
+    return 1;
+  }
+
+  void part_taken(const PartAsk& ask) {
+    taken.add(now);
+    if (parts.find(ask.id) >= 0) return;
+    for (auto at = hand.rbegin(); at != hand.rend(); ++at) {
+      Multiget& mg = multigets.at(*at);
+      if (mg.closed || mg.number != ask.multiget) continue;
+      const OpType& op = op_types[static_cast<std::size_t>(mg.op_type)];
+      const int place = parts.take(ask.id);
+      Part& part = parts.at(place);
+      part.multiget = *at;
+      part.next = mg.first_part;
+      part.shard = ask.shard;
+      part.step = mg.step;
+      part.weight = ask.weight;
+      part.key = ask.key;
+      part.cost = ask.hint > Span::zero() ? micros(ask.hint) : op.part_work;
+      part.order = next_order++;
+      mg.first_part = place;
+      mg.awaited = std::max(0, mg.awaited - 1);
+      if (mg.admitted) await(place);
+      return;
+    }
+  }
+
+  void await(int place) {
+    if (parts.at(place).pending) return;
+    parts.at(place).pending = true;
+    pending.push_back(place);
+  }
+
+  void believe(Replica& r, double good, double bad) {
+    const double keep = fade(now - r.believed_at, kBeliefMemory);
+    r.good = kPrior + (r.good - kPrior) * keep + good;
+    r.bad = r.bad * keep + bad;
+    r.believed_at = now;
+    r.good = std::min(r.good, 12.0);
+    r.bad = std::min(r.bad, 8.0);
+  }
+
+  void settle(Replica& r) {
+    const Span age = now - r.decayed_at;
+    if (age <= Span::zero()) return;
+    r.recent *= fade(age, kRecent);
+    r.flow *= fade(age, kFlowMemory);
+    r.decayed_at = now;
+  }
+
+  void learn_pace(Replica& r, double ratio) {
+    r.pace *= std::pow(std::clamp(ratio / r.pace, 0.1, 10.0), kPaceGain);
+    r.pace = std::clamp(r.pace, 0.2, 50.0);
+    fleet_pace *= std::pow(std::clamp(ratio / fleet_pace, 0.1, 10.0), kPaceGain / 10);
+  }
+
+  void send_ended(const Rid& id, int send, Fate fate, Span elapsed, const LoadReport&) {
+    const int place = parts.find(id);
+    if (place < 0) return;
+    Part& part = parts.at(place);
+    if (send < 0 || send >= part.sent) return;
+    SendRecord& s = part.sends[static_cast<std::size_t>(send)];
+    if (!s.out) return;
+    s.out = false;
+    Multiget& mg = multigets.at(part.multiget);
+    mg.sends_out -= 1;
+    Replica& r = replicas[static_cast<std::size_t>(s.replica)];
+    settle(r);
+    r.out = std::max(0.0, r.out - s.charge);
+    if (fate == Fate::pushed_back || fate == Fate::dial_failed || fate == Fate::unused)
+      s.may_have_run = false;
+    const double ratio = micros(elapsed) / std::max(s.base, 1.0);
+    switch (fate) {
+      case Fate::returned:
+        believe(r, 1, 0);
+        learn_pace(r, ratio);
+        learn_work(op_types[static_cast<std::size_t>(mg.op_type)], s, part, elapsed);
+        break;
+      case Fate::app_error:
+      case Fate::dropped:
+      case Fate::dial_failed:
+      case Fate::expired:
+        believe(r, 0, 1);
+        break;
+      case Fate::pushed_back:
+        believe(r, 0, 0.5);
+        learn_pace(r, r.pace * 2);
+        break;
+      case Fate::revoked:
+        if (ratio > r.pace) learn_pace(r, ratio);  // it would have taken longer still
+        break;
+      case Fate::unused:
+        break;
+    }
+    if (!mg.closed && !part.returned) {
+      if (fate == Fate::returned) {
+        part.returned = true;
+        mg.returned_parts += 1;
+        if (part.step == mg.step) mg.weight_in += part.weight;
+        withdraw_all(place);
+      } else if (part.out() == 0) {
+        if (may_repeat(part, mg)) {
+          await(place);
+        } else {
+          mg.doomed = true;
+        }
+      }
+    }
+    release_if_done(part.multiget);
+  }
+
+  // Where no hints come, a part's cost is the lower quartile of what an otherwise idle replica took for it.
+  void learn_work(OpType& op, const SendRecord& s, const Part& part, Span elapsed) {
+    if (s.base > s.charge * 1.05 || part.step > 1) return;
+    const double work = std::max(micros(elapsed) - call_cost, 1000.0);
+    op.part_work *= work < op.part_work ? 0.95 : 1.0167;
+  }
+
+  void probe_ended(std::string_view server, Fate fate, Span, const LoadReport&) {
+    Replica* r = replica_of(server);
+    if (r == nullptr) return;
+    r->probes_out = std::max(0, r->probes_out - 1);
+    if (fate == Fate::returned) {
+      believe(*r, 0.5, 0);
+      r->bad *= 0.7;
+    } else {
+      believe(*r, 0, 0.5);
+    }
+  }
+
+  void client_left(const Rid& id) {
+    const int place = multigets.find(id);
+    if (place < 0 || multigets.at(place).closed) return;
+    close(place);
+    release_if_done(place);
+  }
+
+  // ---- ends
+  // ---------------------------------------------------------------------------------------------------------
+
+  void withdraw_all(int place) {
+    if (!contract.flag("limits.cancel", false)) return;
+    Part& part = parts.at(place);
+    for (int i = 0; i < part.sent; ++i) {
+      SendRecord& s = part.sends[static_cast<std::size_t>(i)];
+      if (s.out && !s.withdrawn) {
+        s.withdrawn = true;
+        withdrawals.push_back({part.id, i});
+      }
+    }
+  }
+
+  void close(int place) {
+    Multiget& mg = multigets.at(place);
+    mg.closed = true;
+    for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
+      parts.at(p).pending = false;
+      withdraw_all(p);
+    }
+  }
+
+  // A place is given back once nothing of it is out, and not while verdicts are being looked for.
+  void release_if_done(int place) {
+    Multiget& mg = multigets.at(place);
+    if (!mg.closed || mg.sends_out > 0) return;
+    released.push_back(place);
+  }
+
+  void sweep() {
+    for (const int place : released) {
+      Multiget& mg = multigets.at(place);
+      for (int p = mg.first_part; p >= 0;) {
+        const int next = parts.at(p).next;
+        parts.give_back(p);
+        p = next;
+      }
+      hand.erase(std::find(hand.begin(), hand.end(), place));
+      multigets.give_back(place);
+    }
+    released.clear();
+  }
+
+  // Rules 1, 2 and 5: every final answer passes here, once.
+  Verdict finish(int place, Ending ending, bool whole, Span come_back) {
+    Multiget& mg = multigets.at(place);
+    const OpType& op = op_types[static_cast<std::size_t>(mg.op_type)];
+    if (ending != Ending::answer) {
+      // A push-back promises that trying again is harmless.
+      bool harmless = true;
+      if (op.repeat == Repeat::non_retriable) {
+        for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
+          const Part& part = parts.at(p);
+          for (int i = 0; i < part.sent; ++i)
+            harmless &= !part.sends[static_cast<std::size_t>(i)].may_have_run;
+        }
+      }
+      ending = harmless ? Ending::push_back : Ending::fail;
+      whole = false;
+      if (!contract.flag("limits.retry-after", false) || !harmless) come_back = Span::zero();
+      come_back = std::min(come_back, contract.time("limits.max-retry-after", 0s));
+    }
+    const bool second_step_follows = ending == Ending::answer && mg.step == 1 && op.second_step > 0;
+    Verdict verdict{mg.id, ending, whole, come_back};
+    if (second_step_follows) {
+      mg.first_step_whole = whole;
+      mg.step = 2;
+      mg.weight_in = 0;
+      mg.awaited = std::min(op.second_step, mg.returned_parts);
+      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
+        if (!parts.at(p).returned) {
+          parts.at(p).pending = false;
+          withdraw_all(p);
+        }
+      }
+    } else {
+      close(place);
+      release_if_done(place);
+    }
+    return verdict;
+  }
+
+  std::optional<Verdict> next_verdict() {
+    constexpr double kRounding = 1e-5;
+    while (verdict_cursor < hand.size()) {
+      const int place = hand[verdict_cursor++];
+      Multiget& mg = multigets.at(place);
+      if (mg.closed) continue;
+      const OpType& op = op_types[static_cast<std::size_t>(mg.op_type)];
+      const double need = mg.step == 1 ? op.need : 1.0;
+      if (mg.awaited == 0 && mg.weight_in >= need - kRounding) {
+        return finish(place, Ending::answer, mg.step == 1 || mg.first_step_whole, Span::zero());
+      }
+      const bool late = now >= mg.taken + op.latency_budget;
+      const bool floor_in = op.floor < op.need && mg.awaited == 0 && mg.weight_in >= op.floor - kRounding;
+      const double whole_later = late ? 0 : op.late_share;
+      if (now >= mg.last_moment || mg.doomed || (late && op.partial > whole_later && floor_in)) {
+        if (floor_in) return finish(place, Ending::answer, false, Span::zero());
+        return finish(place, Ending::push_back, false, Span::zero());
+      }
+      if (late && (op.late_share <= 0.0 || fleet_pace > 3))
+        return finish(place, Ending::push_back, false, 0s);
+      if (!mg.admitted && mg.awaited == 0) {
+        const double need_us = expected_time(mg);
+        if (need_us > allowed_time(mg, op)) {
+          note = "pushing back: more is asked for than can be finished in time";
+          const double wait = std::isfinite(need_us) ? std::max(need_us / 2, 100'000.0) : 500'000.0;
+          return finish(place, Ending::push_back, false, span(std::min(wait, 1e9)));
+        }
+        mg.admitted = true;
+        for (int p = mg.first_part; p >= 0; p = parts.at(p).next) await(p);
+      }
+    }
+    sweep();
+    return std::nullopt;
+  }
+
+  // ---- admission
+  // ----------------------------------------------------------------------------------------------------
+
+  double expected_time(const Multiget& mg) {
+    double longest = 0;
+    for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
+      double best = std::numeric_limits<double>::infinity();
+      holders(parts.at(p));
+      for (const Candidate& c : candidates) {
+        Replica& r = replicas[static_cast<std::size_t>(c.replica)];
+        best = std::min(best, estimate(r, parts.at(p).cost + call_cost));
+      }
+      longest = std::max(longest, best);
+    }
+    return longest;
+  }
+
+  double allowed_time(const Multiget& mg, const OpType& op) {
+    double cost = call_cost;
+    for (int p = mg.first_part; p >= 0; p = parts.at(p).next) cost += parts.at(p).cost;
+    const double density = mg.importance / cost;
+    if (mean_density <= 0) mean_density = density;
+    mean_density += 0.02 * (density - mean_density);
+    const double fill = std::clamp(kFill * std::sqrt(density / mean_density), 0.25, 0.9);
+    return fill * micros(std::min(op.latency_budget, mg.last_moment - mg.taken));
+  }
+
+  // ---- placement
+  // ----------------------------------------------------------------------------------------------------
+
+  struct Candidate {
+    int replica;
+    std::uint64_t rank;
+    double load;
+  };
+
+  double warmth(const Replica& r) const {
+    if (!r.started) return 1;
+    const Span cold = contract.time("contract.cold", 0s);
+    const Span age = std::max(now - *r.started, Span::zero());
+    if (age >= cold) return 1;
+    const double from = contract.share("contract.cold-from", 1);
+    return from + (1 - from) * (micros(age) / micros(cold));
+  }
+
+  double slowness(const Replica& r) const { return r.pace * r.hush / warmth(r); }
+
+  // How long a send of this cost is expected to take.
+  double estimate(const Replica& r, double cost) const {
+    return slowness(r) * (cost + (r.out + r.assigned) / 2);
+  }
+
+  double load(Replica& r) {
+    settle(r);
+    const double opening = r.call_parts == 0 ? call_cost : 0;  // a call's own cost is load too
+    return slowness(r) * (r.assigned + r.out + r.recent + opening);
+  }
+
+  // The replicas that hold a part's shard and are up, in hash order.
+  void holders(const Part& part) {
+    candidates.clear();
+    const std::uint64_t shard =
+        mix(static_cast<std::uint64_t>(part.shard) * 0x9e3779b97f4a7c15ULL ^ mix(part.key));
+    for (int j = 0; j < std::min(width, cells); ++j) {
+      for (const int i : by_cell[static_cast<std::size_t>((part.shard + j) % cells)]) {
+        const Replica& r = replicas[static_cast<std::size_t>(i)];
+        if (r.standing == Standing::up) candidates.push_back({i, mix(r.hash ^ shard), 0});
+      }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+      return a.rank != b.rank ? a.rank > b.rank : a.replica < b.replica;
+    });
+  }
+
+  bool may_repeat(const Part& part, const Multiget& mg) const {
+    if (part.sent >= most_sends) return false;
+    const OpType& op = op_types[static_cast<std::size_t>(mg.op_type)];
+    if (op.repeat == Repeat::retriable) return true;
+    for (int i = 0; i < part.sent; ++i) {
+      const SendRecord& s = part.sends[static_cast<std::size_t>(i)];
+      if (!s.may_have_run) continue;
+      if (op.repeat == Repeat::non_retriable || now > s.at + op.dedupe_window) return false;
+    }
+    return true;
+  }
+
+  // Rules 1 to 4 and 6: every send passes here.
+  bool may_send(const Part& part, Replica& r) {
+    const Multiget& mg = multigets.at(part.multiget);
+    if (mg.closed || part.returned || part.step != mg.step || now >= mg.last_moment) return false;
+    if (!may_repeat(part, mg)) return false;
+    const int out = part.out();
+    if (out > 0 && (out > 1 || !contract.flag("limits.second-copies", false))) return false;
+    if (part.sent > 0 && !further_allowed()) return false;
+    if (r.standing != Standing::up) return false;
+    return cold_allows(r, part.cost + (r.call_parts == 0 ? call_cost : 0));
+  }
+
+  // The stated budget for further sends, or the module's own where none is stated; counted to the safe side.
+  bool further_allowed() const {
+    const bool stated = contract.has("contract.resend-span");
+    const double free = stated ? contract.at_least("contract.extra-floor", 0, 0) : kOwnFurtherFree;
+    const double share = stated ? contract.at_least("contract.extra-per-request", 0, 0) : kOwnFurther;
+    return further.at_most(now) + 1 <= free + share * taken.at_least(now);
+  }
+
+  // A cold replica falls over when all gatherers together send it more than a multiple of what it can do.
+  // Each keeps to its fair share of that: what it sends an ordinary replica, times warmth and multiple; and
+  // one send a window in any case.
+  bool cold_allows(const Replica& r, double cost) {
+    const double warm = warmth(r);
+    if (warm >= 1) return true;
+    const Span window = contract.time("contract.overload-for", 1s);
+    double sent = 0;
+    for (const auto& [at, work] : r.cold_sends) {
+      if (work > 0 && now - at <= window) sent += work;
+    }
+    if (sent <= 0) return true;
+    double flow = 0;
+    double warm_ones = 0;
+    for (Replica& other : replicas) {
+      if (other.standing != Standing::up || warmth(other) < 1) continue;
+      settle(other);
+      flow += other.flow / seconds(kFlowMemory);
+      warm_ones += 1;
+    }
+    if (warm_ones <= 0) return false;
+    const double multiple = contract.at_least("contract.fall-multiple", 1, 0);
+    return sent + cost <= kColdUse * multiple * warm * (flow / warm_ones) * seconds(window);
+  }
+
+  // Whether a doubtful replica gets work in this turn is drawn from the posterior of its chance of success.
+  double drawn(Replica& r) {
+    if (r.drawn_at == now) return r.drawn;
+    believe(r, 0, 0);
+    r.drawn_at = now;
+    r.drawn = 1;
+    if (r.bad > 0.3) {
+      const double a = std::gamma_distribution<double>(r.good, 1)(chance);
+      const double b = std::gamma_distribution<double>(r.bad, 1)(chance);
+      r.drawn = a / std::max(a + b, 1e-9);
+    }
+    return r.drawn;
+  }
+
+  // The design's choice among a part's replicas; -1 where none may be sent to.
+  int pick(const Part& part) {
+    holders(part);
+    const Multiget& mg = multigets.at(part.multiget);
+    const double trust =
+        op_types[static_cast<std::size_t>(mg.op_type)].repeat == Repeat::retriable ? 0.6 : 0.9;
+    std::erase_if(candidates, [&](const Candidate& c) {
+      return !may_send(part, replicas[static_cast<std::size_t>(c.replica)]);
+    });
+    if (candidates.empty()) return -1;
+    const auto tried = [&](const Candidate& c) {
+      for (int i = 0; i < part.sent; ++i) {
+        if (part.sends[static_cast<std::size_t>(i)].replica == c.replica) return true;
+      }
+      return false;
+    };
+    if (part.out() > 0) {
+      std::erase_if(candidates, tried);
+    } else if (!std::all_of(candidates.begin(), candidates.end(), tried)) {
+      std::erase_if(candidates, tried);
+    }
+    if (candidates.empty()) return -1;
+    double best = 0;
+    for (const Candidate& c : candidates)
+      best = std::max(best, drawn(replicas[static_cast<std::size_t>(c.replica)]));
+    std::erase_if(candidates, [&](const Candidate& c) {
+      return replicas[static_cast<std::size_t>(c.replica)].drawn < std::min(trust, best);
+    });
+    double least = std::numeric_limits<double>::infinity();
+    int least_loaded = -1;
+    double total = 0;
+    for (Candidate& c : candidates) {
+      c.load = load(replicas[static_cast<std::size_t>(c.replica)]);
+      total += had_of(part.shard, c.replica);
+      if (c.load < least) {
+        least = c.load;
+        least_loaded = c.replica;
+      }
+    }
+    if (candidates.front().load > least * kMargin) return least_loaded;
+    const double cap = total / static_cast<double>(candidates.size()) + kTieShare * total;
+    for (const Candidate& c : candidates) {
+      if (c.load <= least * kMargin && had_of(part.shard, c.replica) <= cap) return c.replica;
+    }
+    return candidates.front().replica;
+  }
+
+  double& had_of(int shard, int replica) {
+    return had[static_cast<std::size_t>(shard % shards) * replicas.size() +
+               static_cast<std::size_t>(replica)];
+  }
+
+  void commit(int place, int to) {
+    Part& part = parts.at(place);
+    Multiget& mg = multigets.at(part.multiget);
+    Replica& r = replicas[static_cast<std::size_t>(to)];
+    const bool opens = r.call_parts == 0;
+    r.call_parts = (r.call_parts + 1) % call_room;
+    const double cost = part.cost + (opens ? call_cost : 0);
+    SendRecord& s = part.sends[static_cast<std::size_t>(part.sent++)];
+    s = SendRecord{};
+    s.replica = to;
+    s.at = now;
+    s.charge = cost;
+    s.base = part.cost + call_cost + (r.out + r.assigned - (opens ? 0 : call_cost)) / 2;
+    s.expect = slowness(r) * s.base;
+    s.out = true;
+    if (part.sent > 1) further.add(now);
+    r.assigned += cost;
+    r.flow += cost;
+    if (warmth(r) < 1) r.cold_sends[r.cold_next++ % r.cold_sends.size()] = {now, cost};
+    mg.sends_out += 1;
+    had_of(part.shard, to) += 1;
+    plan.push_back({part.id, r.server, mg.last_moment});
+  }
+
+  // Looks over what is out: replicas that keep silent, and parts that want a second copy.
+  void look_over() {
+    for (Replica& r : replicas) {
+      r.hush = 1;
+      r.assigned = 0;
+      r.call_parts = 0;
+    }
+    for (const int m : hand) {
+      for (int p = multigets.at(m).first_part; p >= 0; p = parts.at(p).next) {
+        Part& part = parts.at(p);
+        for (int i = 0; i < part.sent; ++i) {
+          SendRecord& s = part.sends[static_cast<std::size_t>(i)];
+          if (!s.out || s.withdrawn) continue;
+          Replica& r = replicas[static_cast<std::size_t>(s.replica)];
+          const double over = micros(now - s.at) / std::max(s.expect, 1.0);
+          if (over > 1.5) r.hush = std::max(r.hush, over);
+          if (over > kOverdue && !s.counted_late) {
+            s.counted_late = true;
+            believe(r, 0, 0.5);
+          }
+        }
+      }
+    }
+  }
+
+  void want_copies() {
+    for (const int m : hand) {
+      const Multiget& mg = multigets.at(m);
+      if (mg.closed || !mg.admitted) continue;
+      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
+        Part& part = parts.at(p);
+        if (part.returned || part.pending || part.step != mg.step || part.sent == 0) continue;
+        const SendRecord& last = part.sends[static_cast<std::size_t>(part.sent - 1)];
+        if (!last.out || micros(now - last.at) < kOverdue * last.expect) continue;
+        if (!may_repeat(part, mg)) continue;
+        if (part.out() > 1) {
+          // Both are overdue: the older one makes room for a third.
+          for (int i = 0; i < part.sent - 1; ++i) {
+            SendRecord& s = part.sends[static_cast<std::size_t>(i)];
+            if (s.out && !s.withdrawn && contract.flag("limits.cancel", false)) {
+              s.withdrawn = true;
+              withdrawals.push_back({part.id, i});
+            }
+          }
+          continue;
+        }
+        const int to = pick(part);
+        if (to < 0) continue;
+        const Replica& r = replicas[static_cast<std::size_t>(to)];
+        if (estimate(r, part.cost + call_cost) > 2 * micros(now - last.at)) continue;
+        commit(p, to);
+      }
+    }
+  }
+
+  void place_parts() {
+    planned = true;
+    plan.clear();
+    plan_cursor = 0;
+    look_over();
+    std::erase_if(pending, [&](int p) { return !parts.at(p).pending; });
+    std::sort(pending.begin(), pending.end(), [&](int a, int b) {
+      const Part& x = parts.at(a);
+      const Part& y = parts.at(b);
+      return x.cost != y.cost ? x.cost > y.cost : x.order < y.order;
+    });
+    std::size_t kept = 0;
+    for (const int p : pending) {
+      const int to = pick(parts.at(p));
+      if (to < 0) {
+        pending[kept++] = p;
+        continue;
+      }
+      parts.at(p).pending = false;
+      commit(p, to);
+    }
+    pending.resize(kept);
+    want_copies();
+    const double keep = fade(now - had_at, kShardMemory);
+    if (now - had_at > 100ms) {
+      for (double& h : had) h *= keep;
+      had_at = now;
+    }
+    for (Replica& r : replicas) {
+      settle(r);
+      r.out += r.assigned;
+      r.recent += r.assigned;
+      r.assigned = 0;
+    }
+  }
+
+  std::optional<Withdrawal> next_withdrawal() {
+    if (withdrawals.empty()) return std::nullopt;
+    const Withdrawal w = withdrawals.back();
+    withdrawals.pop_back();
+    return w;
+  }
+
+  std::optional<Send> next_send() {
+    if (!planned) place_parts();
+    if (plan_cursor >= plan.size()) return std::nullopt;
+    return plan[plan_cursor++];
+  }
+
+  std::optional<std::string_view> next_probe() {
+    if (!contract.flag("limits.probing", false)) return std::nullopt;
+    for (Replica& r : replicas) {
+      if (r.standing != Standing::up || r.probes_out > 0 || (r.probed_at && now - *r.probed_at < 1s))
+        continue;
+      if (r.bad < r.good) continue;
+      r.probed_at = now;
+      r.probes_out += 1;
+      return r.server;
+    }
+    return std::nullopt;
+  }
+
+  std::optional<ListCall> next_list_call() {
+    if (contract.word("registry-mode", "push") != "ask" || watching || now < ask_from) return std::nullopt;
+    if (asked_at && now - *asked_at < contract.time("contract.ask-every", 10s) / 2) return std::nullopt;
+    asked_at = now;
+    return ListCall::watch;
+  }
+
+  std::optional<std::string> next_note() {
+    if (!note || now - noted_at < 5s) {
+      note.reset();
+      return std::nullopt;
+    }
+    noted_at = now;
+    return std::exchange(note, std::nullopt);
+  }
+
+  std::optional<Span> next_wake() {
+    const Span want = now + (hand.empty() ? Span(200ms) : kGlance);
+    if (wake_set && *wake_set <= want) return std::nullopt;
+    wake_set = want;
+    return want - now;
+  }
+
+  Contract contract;
+  std::mt19937 chance;
+  std::vector<OpType> op_types;
+  std::vector<Customer> customers;
+  double call_cost = 0;
+  int call_room = 1;
+  int cells = 1;
+  int width = 1;
+  int shards = 1;
+  int most_sends = 1;
+  double peers = 1;
+  WindowCount taken;    // multigets and parts
+  WindowCount further;  // sends beyond each part's first
+  Slab<Multiget> multigets;
+  Slab<Part> parts;
+  std::vector<int> hand;  // multigets in the order of their arrival
+  std::vector<int> released;
+  std::vector<int> pending;
+  std::vector<Send> plan;
+  std::vector<Withdrawal> withdrawals;
+  std::vector<Candidate> candidates;
+  std::vector<Replica> replicas;
+  std::map<std::string, int, std::less<>> by_server;
+  std::vector<std::vector<int>> by_cell;
+  std::vector<double> had;  // recent parts by shard and replica
+  Span had_at{};
+  Span now{};
+  std::size_t verdict_cursor = 0;
+  std::size_t plan_cursor = 0;
+  bool planned = false;
+  std::uint64_t next_order = 0;
+  double fleet_pace = 1;
+  double mean_density = 0;
+  bool list_whole = false;
+  bool list_remembered = false;
+  bool watching = false;
+  std::optional<Span> asked_at;
+  Span ask_from{};
+  int refusals = 0;
+  std::optional<Span> wake_set;
+  std::optional<std::string> note;
+  Span noted_at{-1h};
+};
+
+Choice::Choice(const Terms& terms, std::uint32_t seed) : mind_(std::make_unique<Mind>(terms, seed)) {}
+Choice::~Choice() = default;
+Choice::Choice(Choice&&) noexcept = default;
+Choice& Choice::operator=(Choice&&) noexcept = default;
+
+void Choice::clock(Span now) { mind_->clock(now); }
+void Choice::list_opens(bool whole, bool remembered) { mind_->list_opens(whole, remembered); }
+void Choice::list_row(const ListRow& row) { mind_->list_row(row); }
+void Choice::list_closes() { mind_->list_closes(); }
+void Choice::list_refused() { mind_->list_refused(); }
+void Choice::multiget_taken(const MultigetAsk& ask) { mind_->multiget_taken(ask); }
+void Choice::part_taken(const PartAsk& ask) { mind_->part_taken(ask); }
+void Choice::send_ended(const Rid& part, int send, Fate fate, Span elapsed, const LoadReport& load) {
+  mind_->send_ended(part, send, fate, elapsed, load);
+}
+void Choice::probe_ended(std::string_view server, Fate fate, Span elapsed, const LoadReport& load) {
+  mind_->probe_ended(server, fate, elapsed, load);
+}
+void Choice::client_left(const Rid& multiget) { mind_->client_left(multiget); }
+std::optional<Verdict> Choice::next_verdict() { return mind_->next_verdict(); }
+std::optional<Withdrawal> Choice::next_withdrawal() { return mind_->next_withdrawal(); }
+std::optional<Send> Choice::next_send() { return mind_->next_send(); }
+std::optional<std::string_view> Choice::next_probe() { return mind_->next_probe(); }
+std::optional<ListCall> Choice::next_list_call() { return mind_->next_list_call(); }
+std::optional<std::string> Choice::next_note() { return mind_->next_note(); }
+std::optional<Span> Choice::next_wake() { return mind_->next_wake(); }
+
+}  // namespace marbledyke
--- /dev/null
+++ b/src/model/hand.h
@@ -0,0 +1,121 @@
+// What the module keeps of op types, customers, multigets, parts, sends and replicas. Nothing here decides.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "model/plain.h"
+
+namespace marbledyke {
+
+inline constexpr std::size_t kMostSends = 8;  // places for the sends of one part
+
+enum class Repeat { retriable, deduped, non_retriable };
+
+struct OpType {
+  Repeat repeat = Repeat::retriable;
+  Span latency_budget{};
+  Span route_timeout{};
+  Span dedupe_window{};
+  double importance = 1;
+  double late_share = 0;
+  double floor = 1;    // least share of parts for any answer
+  double need = 1;     // share of parts for a whole one
+  double partial = 0;  // what an answer short of whole earns, by its share
+  int second_step = 0;
+  double part_work = 0;  // learned: the work of a part, where no hint is given
+};
+
+struct Customer {
+  double allowance = 0;  // multigets a second for this gatherer; 0: no limit
+  double tokens = 0;
+  Span filled{};
+};
+
+struct SendRecord {
+  int replica = -1;
+  Span at{};
+  double charge = 0;  // cost counted as in flight
+  double base = 0;    // what it would take at pace 1
+  double expect = 0;  // what it was expected to take
+  bool out = false;
+  bool may_have_run = true;  // until proven not to
+  bool withdrawn = false;
+  bool counted_late = false;
+};
+
+struct Part {
+  Rid id;
+  int multiget = -1;
+  int next = -1;  // of the same multiget
+  int shard = 0;
+  int step = 1;
+  double weight = 0;
+  double cost = 0;
+  std::uint64_t key = 0;
+  bool returned = false;
+  bool pending = false;
+  std::uint64_t order = 0;
+  int sent = 0;
+  std::array<SendRecord, kMostSends> sends{};
+  int out() const {
+    int n = 0;
+    for (int i = 0; i < sent; ++i) n += sends[static_cast<std::size_t>(i)].out ? 1 : 0;
+    return n;
+  }
+};
+
+struct Multiget {
+  Rid id;
+  double number = 0;
+  int op_type = 0;
+  int customer = 0;
+  Span taken{};
+  Span last_moment{};  // when the final answer is due at the latest
+  double importance = 1;
+  int first_part = -1;
+  int awaited = 0;  // parts of the present step still to be handed over
+  int step = 1;
+  int returned_parts = 0;
+  int sends_out = 0;
+  double weight_in = 0;  // of the present step
+  bool first_step_whole = true;
+  bool admitted = false;
+  bool doomed = false;  // a part can neither return nor be sent again
+  bool closed = false;
+};
+
+struct Replica {
+  std::string server;
+  std::uint64_t hash = 0;
+  int zone = 0;
+  int cell = 0;
+  double size = 1;
+  Standing standing = Standing::gone;
+  bool named = false;  // in the list being read
+  std::optional<Span> started;
+  double out = 0;     // own cost in flight
+  double recent = 0;  // own cost recently sent
+  double flow = 0;
+  Span decayed_at{};
+  double good = 0;  // the posterior of its success
+  double bad = 0;
+  Span believed_at{};
+  double pace = 1;
+  double hush = 1;  // how far the oldest send is over what was expected
+  std::optional<Span> probed_at;
+  int probes_out = 0;
+  // in this turn
+  double assigned = 0;
+  int call_parts = 0;
+  double drawn = 1;
+  std::optional<Span> drawn_at;
+  std::array<std::pair<Span, double>, 32> cold_sends{};
+  std::size_t cold_next = 0;
+};
+
+}  // namespace marbledyke
--- /dev/null
+++ b/src/model/window_count.h
@@ -0,0 +1,51 @@
+// Counts events in a sliding window by slices of it.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "model/plain.h"
+
+namespace marbledyke {
+
+class WindowCount {
+ public:
+  void set(Span window) { slice_ = std::max(window / kSlices, Span(1)); }
+
+  void add(Span now) {
+    const std::int64_t present = now / slice_;
+    const auto place = static_cast<std::size_t>(present % kPlaces);
+    if (stamps_[place] != present) {
+      stamps_[place] = present;
+      counts_[place] = 0;
+    }
+    counts_[place] += 1;
+  }
+
+  // Never less than what the window holds: the slice at its far edge counts whole.
+  double at_most(Span now) const { return sum(now, kSlices); }
+
+  // Never more than what the window holds: the slice at its far edge is left out.
+  double at_least(Span now) const { return sum(now, kSlices - 1); }
+
+ private:
+  static constexpr std::int64_t kSlices = 50;
+  static constexpr std::int64_t kPlaces = kSlices + 1;
+
+  double sum(Span now, std::int64_t oldest) const {
+    const std::int64_t present = now / slice_;
+    double total = 0;
+    for (std::size_t i = 0; i < counts_.size(); ++i) {
+      if (const std::int64_t age = present - stamps_[i]; counts_[i] > 0 && age <= oldest) total += counts_[i];
+    }
+    return total;
+  }
+
+  Span slice_{1};
+  std::array<double, kPlaces> counts_{};
+  std::array<std::int64_t, kPlaces> stamps_{};
+};
+
+}  // namespace marbledyke
--- /dev/null
+++ b/tests/choice_traces.cpp
@@ -0,0 +1,54 @@
+// Traces of the decision module, one case a run; the kept ones are in traces/.
+#include <cstring>
+
+#include "bench_free.h"
+
+using namespace marbledyke;
+using namespace marbledyke::trace;
+
+namespace {
+
+// The largest part goes first, and a loaded preferred replica loses a part to the least loaded one.
+void margin() {
+  Gatherer g(ordinary_terms());
+  g.list("ABC");
+  g.hints_fall_by = 0.5;
+  g.take("m", "abcd", 100);
+  g.decide();
+  g.at(10ms);
+  g.take("n", "abcd", 100);
+  g.decide();
+}
+
+// With nothing else to tell replicas apart, one shard's parts stay with the preferred one up to its fair share and a
+// fifth; the pauses let recent cost decay.
+void ties() {
+  Gatherer g(ordinary_terms());
+  g.list("ABC");
+  for (int i = 0; i < 6; ++i) {
+    const std::string name(1, static_cast<char>('m' + i));
+    g.at(i * 15s);
+    g.take(name, "a");
+    g.decide();
+    g.ended(name + "a", Fate::returned, 0, 140ms);
+    g.decide();
+  }
+}
+
+// Opening a call is load: small parts ride along in a call that is open.
+void shared_calls() {
+  Gatherer g(ordinary_terms());
+  g.list("ABC");
+  g.take("m", "abcd", 8);
+  g.decide();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::string which = argc > 1 ? argv[1] : "";
+  if (which == "margin") margin();
+  if (which == "ties") ties();
+  if (which == "shared_calls") shared_calls();
+  return 0;
+}
--- /dev/null
+++ b/tests/wire_instances.sh
@@ -0,0 +1,8 @@
+# Two instances in one process, sheets reused within a batch, an empty batch, a restart.
+"$1" <<'END'
+{"sim-time":1000,"frame":1,"msgs":[]}
+{"sim-time":2000,"frame":2,"msgs":[{"type":"Create","gatherer":0,"rng-seed":1,"params":{"categories":[{"deadline":3000000,"effect":"repeatable"}],"limits":{"attempts-cap":2}}},{"type":"SnapshotRows","sheet":0,"records":[{"server":"10.0.0.1:1","hall":0,"place":0,"readiness":"U"}]},{"type":"Topology","gatherer":0,"kind":"remembered","revision":1,"sheet":0},{"type":"Create","gatherer":4,"rng-seed":2,"params":{"categories":[{"deadline":3000000,"effect":"repeatable"}]}},{"type":"SnapshotRows","sheet":0,"records":[{"server":"10.0.0.2:1","hall":0,"place":0,"readiness":"U"}]},{"type":"Topology","gatherer":4,"kind":"remembered","revision":1,"sheet":0}]}
+{"sim-time":3000,"frame":3,"msgs":[{"type":"Arrival","gatherer":4,"request-id":"00000000000000a0","query-no":1,"slice":-1,"heft":1,"drop-dead":3003000},{"type":"Arrival","gatherer":4,"request-id":"00000000000000a1","query-no":1,"slice":0,"heft":1,"drop-dead":3003000},{"type":"Arrival","gatherer":0,"request-id":"00000000000000b0","query-no":1,"slice":-1,"heft":1,"drop-dead":3003000},{"type":"Arrival","gatherer":0,"request-id":"00000000000000b1","query-no":1,"slice":0,"heft":1,"drop-dead":3003000}]}
+{"sim-time":4000,"frame":4,"msgs":[{"type":"Finished","gatherer":4,"request-id":"00000000000000a1","rc":"delivered","last":true,"server":"10.0.0.2:1","try":0,"time-taken":1000},{"type":"Exit","gatherer":0},{"type":"Create","gatherer":0,"rng-seed":3,"params":{"categories":[{"deadline":3000000}]}}]}
+END
+echo "exit $?"
