--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -37,12 +37,16 @@
 constexpr Span kRecent = 1s;       // the design: cost recently sent decays over this
 constexpr Span kShardMemory = 10s;      // over which a shard's recent parts are counted
 constexpr Span kFlowMemory = 5s;        // over which the ordinary flow to a replica is averaged
+constexpr double kMostGood = 5;         // a long good record does not delay doubt
+constexpr double kMostBad = 8;          // nor a long bad one belief
+constexpr Span kTypeMemory = 20s;       // and that about one op type there more slowly, as it is rarer
 constexpr Span kBeliefMemory = 6s;      // evidence about a replica fades over this
 constexpr double kPrior = 2;            // successes that a replica is credited with
 constexpr Span kSlack = 15ms;           // the last answer comes this long before the client leaves
 constexpr Span kGlance = 10ms;          // how often what is in hand is looked over
 constexpr double kOverdue = 2.5;        // a send is overdue at this multiple of what was expected
 constexpr double kPaceGain = 0.2;       // weight of the newest answer in a replica's pace
+constexpr Span kPaceMemory = 10s;       // a replica's pace drifts back to the fleet's over this
 constexpr double kOwnFurther = 0.25;    // further sends a multiget or part taken, where no budget is stated
 constexpr double kOwnFurtherFree = 10;  // and in addition
 constexpr double kFill = 0.6;     // share of the latency budget an average multiget may be expected to need
@@ -155,14 +159,12 @@
       r->server = row.server;
       r->hash = hash_text(row.server);
       r->pace = fleet_pace;
-      r->decayed_at = r->believed_at = now;
-      r->good = kPrior;
+      r->decayed_at = now;
+      forget(*r);
     } else if (row.started != r->started && row.started) {
       // A new start: what was learned is about a process that is gone.
-      r->good = kPrior;
-      r->bad = 0;
       r->pace = fleet_pace;
-      r->believed_at = now;
+      forget(*r);
     }
     r->zone = row.zone;
     r->cell = std::clamp(row.cell, 0, cells - 1);
@@ -255,13 +257,24 @@
     pending.push_back(place);
   }
 
-  void believe(Replica& r, double good, double bad) {
-    const double keep = fade(now - r.believed_at, kBeliefMemory);
-    r.good = kPrior + (r.good - kPrior) * keep + good;
-    r.bad = r.bad * keep + bad;
-    r.believed_at = now;
-    r.good = std::min(r.good, 12.0);
-    r.bad = std::min(r.bad, 8.0);
+  void forget(Replica& r) {
+    r.belief = Belief{kPrior, 0, now, 1, {}};
+    r.by_type.assign(op_types.size(), r.belief);
+  }
+
+  void believe(Belief& b, double good, double bad, Span memory) {
+    const double keep = fade(now - b.at, memory);
+    b.good = std::min(kPrior + (b.good - kPrior) * keep + good, kMostGood);
+    b.bad = std::min(b.bad * keep + bad, kMostBad);
+    b.at = now;
+  }
+
+  // A replica that fails one op type only looks well as a whole, so each op type has a belief of its own
+  // beside the common one. It guards against silence, errors and push-backs that befall one kind of work; it
+  // does harm where op types are rare and a chance failure keeps a sound replica out for long.
+  void believe(Replica& r, int op_type, double good, double bad) {
+    believe(r.belief, good, bad, kBeliefMemory);
+    believe(r.by_type[static_cast<std::size_t>(op_type)], good, bad, kTypeMemory);
   }
 
   void settle(Replica& r) {
@@ -269,6 +282,8 @@
     if (age <= Span::zero()) return;
     r.recent *= fade(age, kRecent);
     r.flow *= fade(age, kFlowMemory);
+    // A replica shunned for its pace brings no news of it; without this it would be shunned for good.
+    r.pace = fleet_pace * std::pow(r.pace / fleet_pace, fade(age, kPaceMemory));
     r.decayed_at = now;
   }
 
@@ -296,7 +311,7 @@
     const double ratio = micros(elapsed) / std::max(s.base, 1.0);
     switch (fate) {
       case Fate::returned:
-        believe(r, 1, 0);
+        believe(r, mg.op_type, 1, 0);
         learn_pace(r, ratio);
         learn_work(op_types[static_cast<std::size_t>(mg.op_type)], s, part, elapsed);
         break;
@@ -304,13 +319,14 @@
       case Fate::dropped:
       case Fate::dial_failed:
       case Fate::expired:
-        believe(r, 0, 1);
+        believe(r, mg.op_type, 0, 1);
         break;
       case Fate::pushed_back:
-        believe(r, 0, 0.5);
+        believe(r, mg.op_type, 0, 0.5);
         learn_pace(r, r.pace * 2);
         break;
       case Fate::revoked:
+        if (s.counted_late) believe(r, mg.op_type, 0, 0.5);
         if (ratio > r.pace) learn_pace(r, ratio);  // it would have taken longer still
         break;
       case Fate::unused:
@@ -345,10 +361,10 @@
     if (r == nullptr) return;
     r->probes_out = std::max(0, r->probes_out - 1);
     if (fate == Fate::returned) {
-      believe(*r, 0.5, 0);
-      r->bad *= 0.7;
+      believe(r->belief, 0.5, 0, kBeliefMemory);
+      r->belief.bad *= 0.7;
     } else {
-      believe(*r, 0, 0.5);
+      believe(r->belief, 0, 0.5, kBeliefMemory);
     }
   }
 
@@ -512,6 +528,7 @@
     int replica;
     std::uint64_t rank;
     double load;
+    double chance;
   };
 
   double warmth(const Replica& r) const {
@@ -544,7 +561,7 @@
     for (int j = 0; j < std::min(width, cells); ++j) {
       for (const int i : by_cell[static_cast<std::size_t>((part.shard + j) % cells)]) {
         const Replica& r = replicas[static_cast<std::size_t>(i)];
-        if (r.standing == Standing::up) candidates.push_back({i, mix(r.hash ^ shard), 0});
+        if (r.standing == Standing::up) candidates.push_back({i, mix(r.hash ^ shard), 0, 1});
       }
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
@@ -610,17 +627,22 @@
   }
 
   // Whether a doubtful replica gets work in this turn is drawn from the posterior of its chance of success.
-  double drawn(Replica& r) {
-    if (r.drawn_at == now) return r.drawn;
-    believe(r, 0, 0);
-    r.drawn_at = now;
-    r.drawn = 1;
-    if (r.bad > 0.3) {
-      const double a = std::gamma_distribution<double>(r.good, 1)(chance);
-      const double b = std::gamma_distribution<double>(r.bad, 1)(chance);
-      r.drawn = a / std::max(a + b, 1e-9);
+  double drawn(Replica& r, int op_type) {
+    return std::min(drawn(r.belief, kBeliefMemory),
+                    drawn(r.by_type[static_cast<std::size_t>(op_type)], kTypeMemory));
+  }
+
+  double drawn(Belief& b, Span memory) {
+    if (b.drawn_at == now) return b.drawn;
+    believe(b, 0, 0, memory);
+    b.drawn_at = now;
+    b.drawn = 1;
+    if (b.bad > 0.3) {
+      const double x = std::gamma_distribution<double>(b.good, 1)(chance);
+      const double y = std::gamma_distribution<double>(b.bad, 1)(chance);
+      b.drawn = x / std::max(x + y, 1e-9);
     }
-    return r.drawn;
+    return b.drawn;
   }
 
   // The design's choice among a part's replicas; -1 where none may be sent to.
@@ -646,11 +668,11 @@
     }
     if (candidates.empty()) return -1;
     double best = 0;
-    for (const Candidate& c : candidates)
-      best = std::max(best, drawn(replicas[static_cast<std::size_t>(c.replica)]));
-    std::erase_if(candidates, [&](const Candidate& c) {
-      return replicas[static_cast<std::size_t>(c.replica)].drawn < std::min(trust, best);
-    });
+    for (Candidate& c : candidates) {
+      c.chance = drawn(replicas[static_cast<std::size_t>(c.replica)], mg.op_type);
+      best = std::max(best, c.chance);
+    }
+    std::erase_if(candidates, [&](const Candidate& c) { return c.chance < std::min(trust, best); });
     double least = std::numeric_limits<double>::infinity();
     int least_loaded = -1;
     double total = 0;
@@ -717,7 +739,7 @@
           if (over > 1.5) r.hush = std::max(r.hush, over);
           if (over > kOverdue && !s.counted_late) {
             s.counted_late = true;
-            believe(r, 0, 0.5);
+            believe(r, multigets.at(m).op_type, 0, 0.5);
           }
         }
       }
@@ -808,7 +830,7 @@
     for (Replica& r : replicas) {
       if (r.standing != Standing::up || r.probes_out > 0 || (r.probed_at && now - *r.probed_at < 1s))
         continue;
-      if (r.bad < r.good) continue;
+      if (r.belief.bad < r.belief.good) continue;
       r.probed_at = now;
       r.probes_out += 1;
       return r.server;
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "model/plain.h"
 
@@ -89,6 +90,15 @@
   bool closed = false;
 };
 
+// The posterior of a chance of success, and the draw from it that holds for the present turn.
+struct Belief {
+  double good = 0;
+  double bad = 0;
+  Span at{};
+  double drawn = 1;
+  std::optional<Span> drawn_at;
+};
+
 struct Replica {
   std::string server;
   std::uint64_t hash = 0;
@@ -102,9 +112,8 @@
   double recent = 0;  // own cost recently sent
   double flow = 0;
   Span decayed_at{};
-  double good = 0;  // the posterior of its success
-  double bad = 0;
-  Span believed_at{};
+  Belief belief;                // from all its answers
+  std::vector<Belief> by_type;  // from those to one op type each
   double pace = 1;
   double hush = 1;  // how far the oldest send is over what was expected
   std::optional<Span> probed_at;
@@ -112,8 +121,6 @@
   // in this turn
   double assigned = 0;
   int call_parts = 0;
-  double drawn = 1;
-  std::optional<Span> drawn_at;
   std::array<std::pair<Span, double>, 32> cold_sends{};
   std::size_t cold_next = 0;
 };
--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -74,8 +74,9 @@
     choice_.send_ended(rid(part), send, fate, elapsed, {});
   }
 
-  // Prints each decision as it is pulled.
-  void decide() {
+  // Prints each decision as it is pulled; gives the server of the last send.
+  std::string decide() {
+    std::string to;
     while (const auto v = choice_.next_verdict()) {
       const char* how = v->ending == Ending::answer ? (v->whole ? "answer whole" : "answer in part")
                         : v->ending == Ending::push_back ? "push back"
@@ -85,13 +86,17 @@
     while (const auto w = choice_.next_withdrawal()) {
       say("withdraw " + plain(w->part) + " send " + std::to_string(w->send));
     }
-    while (const auto s = choice_.next_send()) say("send " + plain(s->part) + " to " + std::string(s->server));
+    while (const auto s = choice_.next_send()) {
+      to = s->server;
+      say("send " + plain(s->part) + " to " + to);
+    }
     while (const auto p = choice_.next_probe()) say("probe " + std::string(*p));
     while (const auto c = choice_.next_list_call()) say(*c == ListCall::watch ? "watch the list" : "fetch the list");
     while (choice_.next_note()) {
     }
     while (choice_.next_wake()) {
     }
+    return to;
   }
 
   void at(Span now) {
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -43,6 +43,26 @@
   g.decide();
 }
 
+// A replica that swallows one op type and answers the other loses the one and keeps the other.
+void one_op_type_swallowed() {
+  Terms terms = ordinary_terms();
+  terms["categories.1.deadline"] = 4e6;
+  terms["categories.1.objective"] = 1e6;
+  terms["categories.1.effect"] = std::string("once");
+  Gatherer g(terms);
+  g.list("AB");
+  for (int i = 0; i < 8; ++i) {
+    const std::string name(1, static_cast<char>('m' + i));
+    g.at(i * 3s);
+    g.say("-- " + name + (i % 2 == 0 ? " non-retriable" : " retriable"));
+    g.take(name, "a", 100, i % 2 == 0 ? 1 : 0);
+    const std::string to = g.decide();
+    if (i % 2 == 1 || to != "B") g.ended(name + "a", Fate::returned, 0, 140ms);
+    g.until(i * 3s + 2s);
+    g.ended(name + "a", Fate::revoked, 0, 2s);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -50,5 +70,6 @@
   if (which == "margin") margin();
   if (which == "ties") ties();
   if (which == "shared_calls") shared_calls();
+  if (which == "one_op_type_swallowed") one_op_type_swallowed();
   return 0;
 }
