--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -47,9 +47,12 @@
 constexpr double kOverdue = 2.5;        // a send is overdue at this multiple of what was expected
 constexpr double kPaceGain = 0.2;       // weight of the newest answer in a replica's pace
 constexpr Span kPaceMemory = 10s;       // a replica's pace drifts back to the fleet's over this
+constexpr double kOpening = 3;          // a call to be opened counts as load at this multiple of its cost
 constexpr double kOwnFurther = 0.25;    // further sends a multiget or part taken, where no budget is stated
 constexpr double kOwnFurtherFree = 10;  // and in addition
-constexpr double kFill = 0.6;     // share of the latency budget an average multiget may be expected to need
+constexpr double kFill = 0.75;  // share of the latency budget an average multiget may be expected to need
+constexpr double kStretchGain =
+    0.05;  // weight of the newest multiget in what its op type takes for what was expected
 constexpr double kColdUse = 0.8;  // share of the warm-up budget that is used
 
 double seconds(Span s) { return static_cast<double>(s.count()) * 1e-6; }
@@ -393,6 +396,11 @@
   void close(int place) {
     Multiget& mg = multigets.at(place);
     mg.closed = true;
+    if (mg.admitted && mg.expected > 0) {
+      double& stretch = op_types[static_cast<std::size_t>(mg.op_type)].stretch;
+      const double ratio = micros(now - mg.taken) / mg.expected;
+      stretch = std::clamp(stretch * std::pow(std::clamp(ratio / stretch, 0.2, 5.0), kStretchGain), 0.2, 5.0);
+    }
     for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
       parts.at(p).pending = false;
       withdraw_all(p);
@@ -480,7 +488,8 @@
       if (late && (op.late_share <= 0.0 || fleet_pace > 3))
         return finish(place, Ending::push_back, false, 0s);
       if (!mg.admitted && mg.awaited == 0) {
-        const double need_us = expected_time(mg);
+        mg.expected = expected_time(mg);
+        const double need_us = mg.expected * op.stretch;
         if (need_us > allowed_time(mg, op)) {
           note = "pushing back: more is asked for than can be finished in time";
           const double wait = std::isfinite(need_us) ? std::max(need_us / 2, 100'000.0) : 500'000.0;
@@ -514,10 +523,13 @@
   double allowed_time(const Multiget& mg, const OpType& op) {
     double cost = call_cost;
     for (int p = mg.first_part; p >= 0; p = parts.at(p).next) cost += parts.at(p).cost;
-    const double density = mg.importance / cost;
+    const bool by_work = contract.word("value-by", "request") == "work";
+    const double density = by_work ? mg.importance : mg.importance / cost;
     if (mean_density <= 0) mean_density = density;
     mean_density += 0.02 * (density - mean_density);
-    const double fill = std::clamp(kFill * std::sqrt(density / mean_density), 0.25, 0.9);
+    // What is worth something when late as well may be tried at worse odds.
+    const double odds = kFill * (1 + 2 * op.late_share);
+    const double fill = std::clamp(odds * std::sqrt(density / mean_density), 0.25, 1.6);
     return fill * micros(std::min(op.latency_budget, mg.last_moment - mg.taken));
   }
 
@@ -547,9 +559,10 @@
     return slowness(r) * (cost + (r.out + r.assigned) / 2);
   }
 
+  // A call's own cost is load, and it is taken from all that the fleet can do, not from this replica alone.
   double load(Replica& r) {
     settle(r);
-    const double opening = r.call_parts == 0 ? call_cost : 0;  // a call's own cost is load too
+    const double opening = r.call_parts == 0 ? kOpening * call_cost : 0;
     return slowness(r) * (r.assigned + r.out + r.recent + opening);
   }
 
@@ -621,9 +634,10 @@
       flow += other.flow / seconds(kFlowMemory);
       warm_ones += 1;
     }
-    if (warm_ones <= 0) return false;
+    // What others of its size carry for this gatherer, or its share of the one core that every replica has.
+    const double carried = std::max(flow / std::max(warm_ones, 1.0), 1e6 / peers);
     const double multiple = contract.at_least("contract.fall-multiple", 1, 0);
-    return sent + cost <= kColdUse * multiple * warm * (flow / warm_ones) * seconds(window);
+    return sent + cost <= kColdUse * multiple * warm * carried * seconds(window);
   }
 
   // Whether a doubtful replica gets work in this turn is drawn from the posterior of its chance of success.
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -29,6 +29,7 @@
   double partial = 0;  // what an answer short of whole earns, by its share
   int second_step = 0;
   double part_work = 0;  // learned: the work of a part, where no hint is given
+  double stretch = 1;    // learned: how long multigets take for what was expected of them
 };
 
 struct Customer {
@@ -78,6 +79,7 @@
   Span taken{};
   Span last_moment{};  // when the final answer is due at the latest
   double importance = 1;
+  double expected = 0;  // how long it was expected to take when it was admitted
   int first_part = -1;
   int awaited = 0;  // parts of the present step still to be handed over
   int step = 1;
