--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,6 +48,7 @@
 constexpr double kPaceGain = 0.2;       // weight of the newest answer in a replica's pace
 constexpr Span kPaceMemory = 10s;       // a replica's pace drifts back to the fleet's over this
 constexpr double kOpening = 3;          // a call to be opened counts as load at this multiple of its cost
+constexpr double kCrossing = 4;         // weight of the price of crossing zones against that of wasted work
 constexpr double kOwnFurther = 0.25;    // further sends a multiget or part taken, where no budget is stated
 constexpr double kOwnFurtherFree = 10;  // and in addition
 constexpr double kFill = 0.75;  // share of the latency budget an average multiget may be expected to need
@@ -88,6 +89,10 @@
     shards = static_cast<int>(contract.at_least("specifics.slabs", 1, 1));
     most_sends =
         static_cast<int>(std::min(contract.at_least("limits.attempts-cap", 1, 1), double{kMostSends}));
+    zone = static_cast<int>(contract.number("zone", 0));
+    // Crossing zones costs what wasting so much of a part's work would.
+    crossing = kCrossing * contract.at_least("prices.cross-zone", 0, 0) /
+               std::max(contract.at_least("prices.waste", 0, 0), 0.05);
     peers = contract.at_least("replicas-of-me", 1, 1);
     for (int i = 0; contract.has("customers." + std::to_string(i) + ".name"); ++i) {
       Customer c;
@@ -691,7 +696,9 @@
     int least_loaded = -1;
     double total = 0;
     for (Candidate& c : candidates) {
+      const Replica& r = replicas[static_cast<std::size_t>(c.replica)];
       c.load = load(replicas[static_cast<std::size_t>(c.replica)]);
+      if (r.zone != zone) c.load += crossing * part.cost;
       total += had_of(part.shard, c.replica);
       if (c.load < least) {
         least = c.load;
@@ -886,6 +893,8 @@
   int shards = 1;
   int most_sends = 1;
   double peers = 1;
+  int zone = 0;
+  double crossing = 0;  // load that crossing zones adds, by the part's cost
   WindowCount taken;    // multigets and parts
   WindowCount further;  // sends beyond each part's first
   Slab<Multiget> multigets;
