--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -35,16 +35,17 @@
 constexpr double kMargin = 1.05;   // the design: the preferred replica keeps a part within 5%
 constexpr double kTieShare = 0.2;  // the design: and a fifth of the shard's recent parts above its fair share
 constexpr Span kRecent = 1s;       // the design: cost recently sent decays over this
-constexpr Span kShardMemory = 10s;      // over which a shard's recent parts are counted
-constexpr Span kFlowMemory = 5s;        // over which the ordinary flow to a replica is averaged
-constexpr double kMostGood = 5;         // a long good record does not delay doubt
-constexpr double kMostBad = 8;          // nor a long bad one belief
-constexpr Span kTypeMemory = 20s;       // and that about one op type there more slowly, as it is rarer
-constexpr Span kBeliefMemory = 6s;      // evidence about a replica fades over this
-constexpr double kPrior = 2;            // successes that a replica is credited with
-constexpr Span kSlack = 15ms;           // the last answer comes this long before the client leaves
-constexpr Span kGlance = 10ms;          // how often what is in hand is looked over
-constexpr double kOverdue = 2.5;        // a send is overdue at this multiple of what was expected
+constexpr Span kShardMemory = 10s;  // over which a shard's recent parts are counted
+constexpr Span kFlowMemory = 5s;    // over which the ordinary flow to a replica is averaged
+constexpr double kMostGood = 5;     // a long good record does not delay doubt
+constexpr double kMostBad = 8;      // nor a long bad one belief
+constexpr Span kTypeMemory = 20s;   // and that about one op type there more slowly, as it is rarer
+constexpr Span kBeliefMemory = 6s;  // evidence about a replica fades over this
+constexpr double kPrior = 2;        // successes that a replica is credited with
+constexpr Span kSlack = 15ms;       // the last answer comes this long before the client leaves
+constexpr Span kGlance = 10ms;      // how often what is in hand is looked over
+constexpr double kOverdue =
+    4;  // a send is overdue, and due for a copy, at this multiple of what was expected
 constexpr double kPaceGain = 0.2;       // weight of the newest answer in a replica's pace
 constexpr Span kPaceMemory = 10s;       // a replica's pace drifts back to the fleet's over this
 constexpr double kOpening = 3;          // a call to be opened counts as load at this multiple of its cost
@@ -731,7 +732,8 @@
     s.at = now;
     s.charge = cost;
     s.base = part.cost + call_cost + (r.out + r.assigned - (opens ? 0 : call_cost)) / 2;
-    s.expect = slowness(r) * s.base;
+    // Measured by the fleet, so that a replica known as slow does not get more time for it.
+    s.expect = std::min(slowness(r), fleet_pace / warmth(r)) * s.base;
     s.out = true;
     if (part.sent > 1) further.add(now);
     r.assigned += cost;
