--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -25,17 +25,27 @@
 
 // One op type of four shards, each held by all replicas, unless a test says otherwise.
 inline Terms ordinary_terms() {
-  return {{"categories.0.deadline", 4e6},      {"categories.0.objective", 2e6},
+  return {{"categories.0.deadline", 4e6},
+          {"categories.0.objective", 2e6},
           {"categories.0.effect", std::string("repeatable")},
-          {"categories.0.late-share", 0.1},    {"specifics.overhead", 40000.0},
-          {"specifics.bundle-max", 16.0},      {"specifics.sets", 1.0},
-          {"specifics.width", 1.0},            {"specifics.slabs", 4.0},
-          {"limits.attempts-cap", 4.0},        {"limits.cancel", true},
-          {"limits.second-copies", true},      {"limits.max-open", 100.0},
-          {"limits.retry-after", true},        {"limits.max-retry-after", 1e6},
-          {"contract.cold", 10e6},             {"contract.cold-from", 0.2},
-          {"contract.fall-multiple", 2.0},     {"contract.overload-for", 1e6},
-          {"contract.drain-grace", 5e5},       {"replicas-of-me", 2.0}};
+          {"categories.0.late-share", 0.1},
+          {"specifics.overhead", 40000.0},
+          {"specifics.bundle-max", 16.0},
+          {"specifics.sets", 1.0},
+          {"specifics.width", 1.0},
+          {"specifics.slabs", 4.0},
+          {"limits.attempts-cap", 4.0},
+          {"limits.cancel", true},
+          {"limits.second-copies", true},
+          {"limits.max-open", 100.0},
+          {"limits.retry-after", true},
+          {"limits.max-retry-after", 1e6},
+          {"contract.cold", 10e6},
+          {"contract.cold-from", 0.2},
+          {"contract.fall-multiple", 2.0},
+          {"contract.overload-for", 1e6},
+          {"contract.drain-grace", 5e5},
+          {"replicas-of-me", 2.0}};
 }
 
 class Gatherer {
@@ -55,17 +65,19 @@
   }
 
   // A multiget with one part for each letter of `parts`, named after both; shards count up from `shard`.
-  void take(const std::string& name, const std::string& parts, double hint_ms = 100, int op_type = 0, int shard = 0,
-            Span patience = 4s) {
+  void take(const std::string& name, const std::string& parts, double hint_ms = 100, int op_type = 0,
+            int shard = 0, Span patience = 4s) {
     const double number = ++number_;
     choice_.multiget_taken({rid(name), number, op_type, 0, static_cast<int>(parts.size()), now_ + patience});
     more_parts(name, number, parts, hint_ms, shard);
   }
 
-  void more_parts(const std::string& name, double number, const std::string& parts, double hint_ms, int shard) {
+  void more_parts(const std::string& name, double number, const std::string& parts, double hint_ms,
+                  int shard) {
     for (const char part : parts) {
       const Span hint(static_cast<std::int64_t>(hint_ms * 1000));
-      choice_.part_taken({rid(name + part), number, shard++, 1.0 / static_cast<double>(parts.size()), 0, hint});
+      choice_.part_taken(
+          {rid(name + part), number, shard++, 1.0 / static_cast<double>(parts.size()), 0, hint});
       hint_ms *= hints_fall_by;
     }
   }
@@ -78,20 +90,21 @@
   std::string decide() {
     std::string to;
     while (const auto v = choice_.next_verdict()) {
-      const char* how = v->ending == Ending::answer ? (v->whole ? "answer whole" : "answer in part")
+      const char* how = v->ending == Ending::answer      ? (v->whole ? "answer whole" : "answer in part")
                         : v->ending == Ending::push_back ? "push back"
                                                          : "fail";
-      say(std::string(how) + " " + plain(v->multiget) + (v->come_back > 0ms ? ", come back later" : ""));
+      tell(std::string(how) + " " + plain(v->multiget) + (v->come_back > 0ms ? ", come back later" : ""));
     }
     while (const auto w = choice_.next_withdrawal()) {
-      say("withdraw " + plain(w->part) + " send " + std::to_string(w->send));
+      tell("withdraw " + plain(w->part) + " send " + std::to_string(w->send));
     }
     while (const auto s = choice_.next_send()) {
       to = s->server;
-      say("send " + plain(s->part) + " to " + to);
+      tell("send " + plain(s->part) + " to " + to);
     }
-    while (const auto p = choice_.next_probe()) say("probe " + std::string(*p));
-    while (const auto c = choice_.next_list_call()) say(*c == ListCall::watch ? "watch the list" : "fetch the list");
+    while (const auto p = choice_.next_probe()) tell("probe " + std::string(*p));
+    while (const auto c = choice_.next_list_call())
+      tell(*c == ListCall::watch ? "watch the list" : "fetch the list");
     while (choice_.next_note()) {
     }
     while (choice_.next_wake()) {
@@ -116,8 +129,13 @@
     std::printf("%5lld ms  %s\n", static_cast<long long>(now_ / 1ms), what.c_str());
   }
 
+  void tell(const std::string& what) const {
+    if (!quiet) say(what);
+  }
+
   Choice& choice() { return choice_; }
   double hints_fall_by = 1;
+  bool quiet = false;  // keeps decisions from being printed
 
  private:
   Choice choice_;
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -20,8 +20,8 @@
   g.decide();
 }
 
-// With nothing else to tell replicas apart, one shard's parts stay with the preferred one up to its fair share and a
-// fifth; the pauses let recent cost decay.
+// With nothing else to tell replicas apart, one shard's parts stay with the preferred one up to its fair
+// share and a fifth; the pauses let recent cost decay.
 void ties() {
   Gatherer g(ordinary_terms());
   g.list("ABC");
@@ -63,6 +63,157 @@
   }
 }
 
+// Rule 1: one final answer before the client leaves, also from silence and from an empty list; nothing is
+// sent after.
+void rule_final_answer() {
+  Gatherer silent(ordinary_terms());
+  silent.list("AB");
+  silent.take("m", "ab", 100, 0, 0, 3s);
+  silent.decide();
+  silent.until(3200ms);
+  silent.ended("ma", Fate::dropped);
+  silent.decide();
+  Gatherer empty(ordinary_terms());
+  empty.take("n", "a", 100, 0, 0, 1s);
+  empty.decide();
+  empty.until(1100ms);
+}
+
+// Rule 2: what may have run is not sent again, nor pushed back; what is proven not to have run is sent again.
+void rule_no_effect_twice() {
+  Terms terms = ordinary_terms();
+  terms["categories.0.effect"] = std::string("once");
+  terms["categories.1.deadline"] = 4e6;
+  terms["categories.1.effect"] = std::string("by_key");
+  terms["categories.1.key-ttl"] = 1e6;
+  for (const Fate fate :
+       {Fate::pushed_back, Fate::dial_failed, Fate::app_error, Fate::dropped, Fate::expired}) {
+    Gatherer g(terms);
+    g.say("-- fate " + std::to_string(static_cast<int>(fate)));
+    g.list("AB");
+    g.take("m", "a");
+    g.decide();
+    g.at(20ms);
+    g.ended("ma", fate);
+    g.decide();
+  }
+  for (const Span late : {990ms, 1010ms}) {
+    Gatherer g(terms);
+    g.say("-- deduped, error after " + std::to_string(late / 1ms) + " ms");
+    g.list("A");
+    g.take("m", "a", 600, 1);
+    g.decide();
+    g.at(late);
+    g.ended("ma", Fate::app_error);
+    g.decide();
+  }
+}
+
+// Rule 3: nothing goes to a replica that drains, is gone, or is missing from a whole list.
+void rule_drains() {
+  Gatherer g(ordinary_terms());
+  g.list("ABC");
+  g.list("A", Standing::draining);
+  g.list("B", Standing::gone);
+  g.take("m", "abcd");
+  g.decide();
+  g.choice().list_opens(true, false);
+  g.choice().list_row({"A", 0, 0, Standing::up, 1, {}});
+  g.choice().list_closes();
+  g.at(10ms);
+  g.take("n", "abcd");
+  g.decide();
+}
+
+// Rule 4: a cold replica gets this gatherer's share of the budget over the window, and more as it warms.
+void rule_cold_share() {
+  Gatherer g(ordinary_terms());
+  g.quiet = true;
+  g.list("A");
+  g.list("B", Standing::up, 0ms);
+  int sent = 0;
+  for (int i = 0; i < 480; ++i) {
+    g.at(i * 25ms);
+    const std::string name =
+        std::string(1, static_cast<char>('a' + i % 26)) + static_cast<char>('a' + i / 26);
+    g.take(name, "p", 60);
+    const std::string to = g.decide();
+    sent += to == "B" ? 1 : 0;
+    g.ended(name + "p", Fate::returned, 0, 100ms);
+    g.decide();
+    if (i % 40 == 39) {
+      g.say("sent to the cold one in this second: " + std::to_string(sent));
+      sent = 0;
+    }
+  }
+}
+
+// Rule 5: no answer under the floor, none marked whole that is not; a part counts once, and the second step
+// by itself.
+void rule_honest() {
+  Terms terms = ordinary_terms();
+  terms["specifics.class-floor.0"] = 0.5;
+  terms["specifics.short-worth.0"] = 0.9;
+  Gatherer g(terms);
+  g.list("AB");
+  g.take("m", "abcd");
+  g.take("n", "abcd");
+  g.decide();
+  for (const char* part : {"ma", "mb", "na", "na"}) g.ended(part, Fate::returned);
+  g.until(4s);
+  Terms two = ordinary_terms();
+  two["specifics.second-step.0"] = 2.0;
+  Gatherer h(two);
+  h.list("AB");
+  h.take("o", "ab");
+  h.decide();
+  h.ended("oa", Fate::returned);
+  h.ended("ob", Fate::returned);
+  h.at(200ms);
+  h.decide();
+  h.at(205ms);
+  h.more_parts("o", 1, "xy", 50, 0);
+  h.decide();
+  h.ended("ox", Fate::returned);
+  h.at(300ms);
+  h.decide();
+  h.ended("oy", Fate::returned);
+  h.at(310ms);
+  h.decide();
+}
+
+// Rule 6: further sends stay within the stated budget: here one, and a tenth of the three taken.
+void rule_budget() {
+  Terms terms = ordinary_terms();
+  terms["contract.resend-span"] = 10e6;
+  terms["contract.extra-floor"] = 1.0;
+  terms["contract.extra-per-request"] = 0.1;
+  Gatherer g(terms);
+  g.list("ABC");
+  g.take("m", "ab");
+  g.decide();
+  g.at(50ms);
+  g.ended("ma", Fate::app_error);
+  g.ended("mb", Fate::app_error);
+  g.decide();
+}
+
+// A list that must be asked for: watched at once, again after a refusal and a spread-out wait.
+void list_asked() {
+  Terms terms = ordinary_terms();
+  terms["registry-mode"] = std::string("ask");
+  terms["contract.ask-every"] = 10e6;
+  Gatherer g(terms);
+  g.decide();
+  g.until(1s);
+  g.choice().list_refused();
+  g.until(3s);
+  g.list("A");
+  g.until(30s);
+  g.choice().list_refused();
+  g.until(31s);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -71,5 +222,12 @@
   if (which == "ties") ties();
   if (which == "shared_calls") shared_calls();
   if (which == "one_op_type_swallowed") one_op_type_swallowed();
+  if (which == "rule_final_answer") rule_final_answer();
+  if (which == "rule_no_effect_twice") rule_no_effect_twice();
+  if (which == "rule_drains") rule_drains();
+  if (which == "rule_cold_share") rule_cold_share();
+  if (which == "rule_honest") rule_honest();
+  if (which == "rule_budget") rule_budget();
+  if (which == "list_asked") list_asked();
   return 0;
 }
