--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -52,7 +52,12 @@
 constexpr double kCrossing = 4;         // weight of the price of crossing zones against that of wasted work
 constexpr double kOwnFurther = 0.25;    // further sends a multiget or part taken, where no budget is stated
 constexpr double kOwnFurtherFree = 10;  // and in addition
-constexpr double kFill = 0.75;  // share of the latency budget an average multiget may be expected to need
+constexpr double kFill =
+    0.75;  // share of the latency budget an average multiget may need while the fleet is jammed
+constexpr double kFillCalm = 1.3;   // and while it is not: odd replicas, not load, make the expectation long
+constexpr double kWaitGain = 0.02;  // weight of the newest answer in the fleet's wait
+constexpr double kCalmWait = 2;  // the fleet is calm while answers take up to this multiple of their own work
+constexpr double kJammedWait = 4;  // and jammed from this
 constexpr double kStretchGain =
     0.05;  // weight of the newest multiget in what its op type takes for what was expected
 constexpr double kColdUse = 0.8;  // share of the warm-up budget that is used
@@ -143,8 +148,8 @@
   // ------------------------------------------------------------------------------------------------
 
   void clock(Span t) {
-    now = t;
     verdict_cursor = 0;
+    now = t;
     planned = false;
     if (wake_set && *wake_set <= now) wake_set.reset();
   }
@@ -322,6 +327,7 @@
       case Fate::returned:
         believe(r, mg.op_type, 1, 0);
         learn_pace(r, ratio);
+        fleet_wait += kWaitGain * (micros(elapsed) / (part.cost + call_cost) - fleet_wait);
         learn_work(op_types[static_cast<std::size_t>(mg.op_type)], s, part, elapsed);
         break;
       case Fate::app_error:
@@ -526,6 +532,10 @@
     return longest;
   }
 
+  // From 0 while the fleet answers about as quickly as it has, to 1 when it is jammed. Pace is seen by
+  // answers, so pushing back does not keep it high, as a share of push-backs would.
+  double jam() const { return std::clamp((fleet_wait - kCalmWait) / (kJammedWait - kCalmWait), 0.0, 1.0); }
+
   double allowed_time(const Multiget& mg, const OpType& op) {
     double cost = call_cost;
     for (int p = mg.first_part; p >= 0; p = parts.at(p).next) cost += parts.at(p).cost;
@@ -534,8 +544,8 @@
     if (mean_density <= 0) mean_density = density;
     mean_density += 0.02 * (density - mean_density);
     // What is worth something when late as well may be tried at worse odds.
-    const double odds = kFill * (1 + 2 * op.late_share);
-    const double fill = std::clamp(odds * std::sqrt(density / mean_density), 0.25, 1.6);
+    const double odds = (kFillCalm + (kFill - kFillCalm) * jam()) * (1 + 2 * op.late_share);
+    const double fill = std::clamp(odds * std::sqrt(density / mean_density), 0.25, 2.0);
     return fill * micros(std::min(op.latency_budget, mg.last_moment - mg.taken));
   }
 
@@ -918,6 +928,7 @@
   bool planned = false;
   std::uint64_t next_order = 0;
   double fleet_pace = 1;
+  double fleet_wait = 1;  // time that answers lately took for their own work
   double mean_density = 0;
   bool list_whole = false;
   bool list_remembered = false;
