--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,35 +32,34 @@
 
 using namespace std::chrono_literals;
 
-constexpr double kMargin = 1.05;   // the design: the preferred replica keeps a part within 5%
-constexpr double kTieShare = 0.2;  // the design: and a fifth of the shard's recent parts above its fair share
-constexpr Span kRecent = 1s;       // the design: cost recently sent decays over this
-constexpr Span kShardMemory = 10s;  // over which a shard's recent parts are counted
-constexpr Span kFlowMemory = 5s;    // over which the ordinary flow to a replica is averaged
-constexpr double kMostGood = 5;     // a long good record does not delay doubt
-constexpr double kMostBad = 8;      // nor a long bad one belief
-constexpr Span kTypeMemory = 20s;   // and that about one op type there more slowly, as it is rarer
-constexpr Span kBeliefMemory = 6s;  // evidence about a replica fades over this
-constexpr double kPrior = 2;        // successes that a replica is credited with
-constexpr Span kSlack = 15ms;       // the last answer comes this long before the client leaves
-constexpr Span kGlance = 10ms;      // how often what is in hand is looked over
-constexpr double kOverdue =
-    4;  // a send is overdue, and due for a copy, at this multiple of what was expected
-constexpr double kPaceGain = 0.2;       // weight of the newest answer in a replica's pace
-constexpr Span kPaceMemory = 10s;       // a replica's pace drifts back to the fleet's over this
-constexpr double kOpening = 3;          // a call to be opened counts as load at this multiple of its cost
-constexpr double kCrossing = 4;         // weight of the price of crossing zones against that of wasted work
-constexpr double kOwnFurther = 0.25;    // further sends a multiget or part taken, where no budget is stated
-constexpr double kOwnFurtherFree = 10;  // and in addition
-constexpr double kFill =
-    0.75;  // share of the latency budget an average multiget may need while the fleet is jammed
-constexpr double kFillCalm = 1.3;   // and while it is not: odd replicas, not load, make the expectation long
-constexpr double kWaitGain = 0.02;  // weight of the newest answer in the fleet's wait
-constexpr double kCalmWait = 2;  // the fleet is calm while answers take up to this multiple of their own work
-constexpr double kJammedWait = 4;  // and jammed from this
-constexpr double kStretchGain =
-    0.05;  // weight of the newest multiget in what its op type takes for what was expected
-constexpr double kColdUse = 0.8;  // share of the warm-up budget that is used
+// clang-format off
+constexpr double kMargin = 1.05;          // the design: the preferred replica keeps a part within 5%
+constexpr double kTieShare = 0.2;         // the design: on ties up to a fifth of a shard's parts above its share
+constexpr Span kRecent = 1s;              // the design: cost recently sent decays over this
+constexpr Span kShardMemory = 10s;        // over which a shard's recent parts are counted
+constexpr Span kFlowMemory = 5s;          // over which the ordinary flow to a replica is averaged
+constexpr double kMostGood = 5;           // a long good record does not delay doubt
+constexpr double kMostBad = 8;            // nor a long bad one belief
+constexpr Span kTypeMemory = 20s;         // and that about one op type more slowly, as it is rarer
+constexpr Span kBeliefMemory = 6s;        // evidence about a replica as a whole fades over this
+constexpr double kPrior = 2;              // successes that a replica is credited with
+constexpr Span kSlack = 15ms;             // the last answer comes this long before the client leaves
+constexpr Span kGlance = 10ms;            // how often what is in hand is looked over
+constexpr double kOverdue = 4;            // a send is overdue, and due a copy, at this multiple of its expectation
+constexpr double kPaceGain = 0.2;         // weight of the newest answer in a replica's pace
+constexpr Span kPaceMemory = 10s;         // a replica's pace drifts back to the fleet's over this
+constexpr double kOpening = 3;            // a call to be opened counts as load at this multiple of its cost
+constexpr double kCrossing = 4;           // weight of the price of crossing zones against that of wasted work
+constexpr double kOwnFurther = 0.25;      // further sends a multiget or part taken, where no budget is stated
+constexpr double kOwnFurtherFree = 10;    // and in addition
+constexpr double kFill = 0.5;             // share of the latency budget to fill while the fleet is jammed
+constexpr double kFillCalm = 1.3;         // and while it is calm: then odd replicas make expectations long
+constexpr double kWaitGain = 0.02;        // weight of the newest answer in the fleet's wait
+constexpr double kCalmWait = 2;           // calm while answers take up to this multiple of their own work
+constexpr double kJammedWait = 4;         // and jammed from this
+constexpr double kStretchGain = 0.05;     // weight of the newest multiget in its op type's stretch
+constexpr double kColdUse = 0.8;          // share of the warm-up budget that is used
+// clang-format on
 
 double seconds(Span s) { return static_cast<double>(s.count()) * 1e-6; }
 double micros(Span s) { return static_cast<double>(s.count()); }
@@ -144,8 +143,11 @@
     if (op_types.empty()) Contract::refuse("categories", "there is no op type");
   }
 
-  // ---- what is known
-  // ------------------------------------------------------------------------------------------------
+  Replica& rep(int i) { return replicas[static_cast<std::size_t>(i)]; }
+  OpType& type_of(const Multiget& mg) { return op_types[static_cast<std::size_t>(mg.op_type)]; }
+  const OpType& type_of(const Multiget& mg) const { return op_types[static_cast<std::size_t>(mg.op_type)]; }
+
+  // ---- what is known ----
 
   void clock(Span t) {
     verdict_cursor = 0;
@@ -224,7 +226,7 @@
     mg.taken = now;
     mg.last_moment = ask.client_leaves - kSlack;
     mg.awaited = ask.parts;
-    mg.importance = op_types[static_cast<std::size_t>(mg.op_type)].importance * within_share(ask.customer);
+    mg.importance = type_of(mg).importance * within_share(ask.customer);
     hand.push_back(place);
     taken.add(now);
   }
@@ -247,7 +249,7 @@
     for (auto at = hand.rbegin(); at != hand.rend(); ++at) {
       Multiget& mg = multigets.at(*at);
       if (mg.closed || mg.number != ask.multiget) continue;
-      const OpType& op = op_types[static_cast<std::size_t>(mg.op_type)];
+      const OpType& op = type_of(mg);
       const int place = parts.take(ask.id);
       Part& part = parts.at(place);
       part.multiget = *at;
@@ -312,12 +314,12 @@
     if (place < 0) return;
     Part& part = parts.at(place);
     if (send < 0 || send >= part.sent) return;
-    SendRecord& s = part.sends[static_cast<std::size_t>(send)];
+    SendRecord& s = part.send(send);
     if (!s.out) return;
     s.out = false;
     Multiget& mg = multigets.at(part.multiget);
     mg.sends_out -= 1;
-    Replica& r = replicas[static_cast<std::size_t>(s.replica)];
+    Replica& r = rep(s.replica);
     settle(r);
     r.out = std::max(0.0, r.out - s.charge);
     if (fate == Fate::pushed_back || fate == Fate::dial_failed || fate == Fate::unused)
@@ -328,7 +330,7 @@
         believe(r, mg.op_type, 1, 0);
         learn_pace(r, ratio);
         fleet_wait += kWaitGain * (micros(elapsed) / (part.cost + call_cost) - fleet_wait);
-        learn_work(op_types[static_cast<std::size_t>(mg.op_type)], s, part, elapsed);
+        learn_work(type_of(mg), s, part, elapsed);
         break;
       case Fate::app_error:
       case Fate::dropped:
@@ -390,14 +392,13 @@
     release_if_done(place);
   }
 
-  // ---- ends
-  // ---------------------------------------------------------------------------------------------------------
+  // ---- ends ----
 
   void withdraw_all(int place) {
     if (!contract.flag("limits.cancel", false)) return;
     Part& part = parts.at(place);
     for (int i = 0; i < part.sent; ++i) {
-      SendRecord& s = part.sends[static_cast<std::size_t>(i)];
+      SendRecord& s = part.send(i);
       if (s.out && !s.withdrawn) {
         s.withdrawn = true;
         withdrawals.push_back({part.id, i});
@@ -409,7 +410,7 @@
     Multiget& mg = multigets.at(place);
     mg.closed = true;
     if (mg.admitted && mg.expected > 0) {
-      double& stretch = op_types[static_cast<std::size_t>(mg.op_type)].stretch;
+      double& stretch = type_of(mg).stretch;
       const double ratio = micros(now - mg.taken) / mg.expected;
       stretch = std::clamp(stretch * std::pow(std::clamp(ratio / stretch, 0.2, 5.0), kStretchGain), 0.2, 5.0);
     }
@@ -443,15 +444,14 @@
   // Rules 1, 2 and 5: every final answer passes here, once.
   Verdict finish(int place, Ending ending, bool whole, Span come_back) {
     Multiget& mg = multigets.at(place);
-    const OpType& op = op_types[static_cast<std::size_t>(mg.op_type)];
+    const OpType& op = type_of(mg);
     if (ending != Ending::answer) {
       // A push-back promises that trying again is harmless.
       bool harmless = true;
       if (op.repeat == Repeat::non_retriable) {
         for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
           const Part& part = parts.at(p);
-          for (int i = 0; i < part.sent; ++i)
-            harmless &= !part.sends[static_cast<std::size_t>(i)].may_have_run;
+          for (int i = 0; i < part.sent; ++i) harmless &= !part.send(i).may_have_run;
         }
       }
       ending = harmless ? Ending::push_back : Ending::fail;
@@ -485,7 +485,7 @@
       const int place = hand[verdict_cursor++];
       Multiget& mg = multigets.at(place);
       if (mg.closed) continue;
-      const OpType& op = op_types[static_cast<std::size_t>(mg.op_type)];
+      const OpType& op = type_of(mg);
       const double need = mg.step == 1 ? op.need : 1.0;
       if (mg.awaited == 0 && mg.weight_in >= need - kRounding) {
         return finish(place, Ending::answer, mg.step == 1 || mg.first_step_whole, Span::zero());
@@ -515,8 +515,7 @@
     return std::nullopt;
   }
 
-  // ---- admission
-  // ----------------------------------------------------------------------------------------------------
+  // ---- admission ----
 
   double expected_time(const Multiget& mg) {
     double longest = 0;
@@ -524,7 +523,7 @@
       double best = std::numeric_limits<double>::infinity();
       holders(parts.at(p));
       for (const Candidate& c : candidates) {
-        Replica& r = replicas[static_cast<std::size_t>(c.replica)];
+        Replica& r = rep(c.replica);
         best = std::min(best, estimate(r, parts.at(p).cost + call_cost));
       }
       longest = std::max(longest, best);
@@ -549,8 +548,7 @@
     return fill * micros(std::min(op.latency_budget, mg.last_moment - mg.taken));
   }
 
-  // ---- placement
-  // ----------------------------------------------------------------------------------------------------
+  // ---- placement ----
 
   struct Candidate {
     int replica;
@@ -589,7 +587,7 @@
         mix(static_cast<std::uint64_t>(part.shard) * 0x9e3779b97f4a7c15ULL ^ mix(part.key));
     for (int j = 0; j < std::min(width, cells); ++j) {
       for (const int i : by_cell[static_cast<std::size_t>((part.shard + j) % cells)]) {
-        const Replica& r = replicas[static_cast<std::size_t>(i)];
+        const Replica& r = rep(i);
         if (r.standing == Standing::up) candidates.push_back({i, mix(r.hash ^ shard), 0, 1});
       }
     }
@@ -600,10 +598,10 @@
 
   bool may_repeat(const Part& part, const Multiget& mg) const {
     if (part.sent >= most_sends) return false;
-    const OpType& op = op_types[static_cast<std::size_t>(mg.op_type)];
+    const OpType& op = type_of(mg);
     if (op.repeat == Repeat::retriable) return true;
     for (int i = 0; i < part.sent; ++i) {
-      const SendRecord& s = part.sends[static_cast<std::size_t>(i)];
+      const SendRecord& s = part.send(i);
       if (!s.may_have_run) continue;
       if (op.repeat == Repeat::non_retriable || now > s.at + op.dedupe_window) return false;
     }
@@ -679,15 +677,12 @@
   int pick(const Part& part) {
     holders(part);
     const Multiget& mg = multigets.at(part.multiget);
-    const double trust =
-        op_types[static_cast<std::size_t>(mg.op_type)].repeat == Repeat::retriable ? 0.6 : 0.9;
-    std::erase_if(candidates, [&](const Candidate& c) {
-      return !may_send(part, replicas[static_cast<std::size_t>(c.replica)]);
-    });
+    const double trust = type_of(mg).repeat == Repeat::retriable ? 0.6 : 0.9;
+    std::erase_if(candidates, [&](const Candidate& c) { return !may_send(part, rep(c.replica)); });
     if (candidates.empty()) return -1;
     const auto tried = [&](const Candidate& c) {
       for (int i = 0; i < part.sent; ++i) {
-        if (part.sends[static_cast<std::size_t>(i)].replica == c.replica) return true;
+        if (part.send(i).replica == c.replica) return true;
       }
       return false;
     };
@@ -699,7 +694,7 @@
     if (candidates.empty()) return -1;
     double best = 0;
     for (Candidate& c : candidates) {
-      c.chance = drawn(replicas[static_cast<std::size_t>(c.replica)], mg.op_type);
+      c.chance = drawn(rep(c.replica), mg.op_type);
       best = std::max(best, c.chance);
     }
     std::erase_if(candidates, [&](const Candidate& c) { return c.chance < std::min(trust, best); });
@@ -707,8 +702,8 @@
     int least_loaded = -1;
     double total = 0;
     for (Candidate& c : candidates) {
-      const Replica& r = replicas[static_cast<std::size_t>(c.replica)];
-      c.load = load(replicas[static_cast<std::size_t>(c.replica)]);
+      const Replica& r = rep(c.replica);
+      c.load = load(rep(c.replica));
       if (r.zone != zone) c.load += crossing * part.cost;
       total += had_of(part.shard, c.replica);
       if (c.load < least) {
@@ -732,7 +727,7 @@
   void commit(int place, int to) {
     Part& part = parts.at(place);
     Multiget& mg = multigets.at(part.multiget);
-    Replica& r = replicas[static_cast<std::size_t>(to)];
+    Replica& r = rep(to);
     const bool opens = r.call_parts == 0;
     r.call_parts = (r.call_parts + 1) % call_room;
     const double cost = part.cost + (opens ? call_cost : 0);
@@ -765,9 +760,9 @@
       for (int p = multigets.at(m).first_part; p >= 0; p = parts.at(p).next) {
         Part& part = parts.at(p);
         for (int i = 0; i < part.sent; ++i) {
-          SendRecord& s = part.sends[static_cast<std::size_t>(i)];
+          SendRecord& s = part.send(i);
           if (!s.out || s.withdrawn) continue;
-          Replica& r = replicas[static_cast<std::size_t>(s.replica)];
+          Replica& r = rep(s.replica);
           const double over = micros(now - s.at) / std::max(s.expect, 1.0);
           if (over > 1.5) r.hush = std::max(r.hush, over);
           if (over > kOverdue && !s.counted_late) {
@@ -792,7 +787,7 @@
         if (part.out() > 1) {
           // Both are overdue: the older one makes room for a third.
           for (int i = 0; i < part.sent - 1; ++i) {
-            SendRecord& s = part.sends[static_cast<std::size_t>(i)];
+            SendRecord& s = part.send(i);
             if (s.out && !s.withdrawn && contract.flag("limits.cancel", false)) {
               s.withdrawn = true;
               withdrawals.push_back({part.id, i});
@@ -802,7 +797,7 @@
         }
         const int to = pick(part);
         if (to < 0) continue;
-        const Replica& r = replicas[static_cast<std::size_t>(to)];
+        const Replica& r = rep(to);
         if (estimate(r, part.cost + call_cost) > 2 * micros(now - last.at)) continue;
         commit(p, to);
       }
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -64,6 +64,8 @@
   std::uint64_t order = 0;
   int sent = 0;
   std::array<SendRecord, kMostSends> sends{};
+  SendRecord& send(int i) { return sends[static_cast<std::size_t>(i)]; }
+  const SendRecord& send(int i) const { return sends[static_cast<std::size_t>(i)]; }
   int out() const {
     int n = 0;
     for (int i = 0; i < sent; ++i) n += sends[static_cast<std::size_t>(i)].out ? 1 : 0;
