--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,7 +34,7 @@
 
 // clang-format off
 constexpr double kMargin = 1.05;          // the design: the preferred replica keeps a part within 5%
-constexpr double kTieShare = 0.2;         // the design: on ties up to a fifth of a shard's parts above its share
+constexpr double kTieShare = 0.2;         // the design: on ties, a fifth of a shard's parts above its share
 constexpr Span kRecent = 1s;              // the design: cost recently sent decays over this
 constexpr Span kShardMemory = 10s;        // over which a shard's recent parts are counted
 constexpr Span kFlowMemory = 5s;          // over which the ordinary flow to a replica is averaged
@@ -45,7 +45,7 @@
 constexpr double kPrior = 2;              // successes that a replica is credited with
 constexpr Span kSlack = 15ms;             // the last answer comes this long before the client leaves
 constexpr Span kGlance = 10ms;            // how often what is in hand is looked over
-constexpr double kOverdue = 4;            // a send is overdue, and due a copy, at this multiple of its expectation
+constexpr double kOverdue = 4;            // a send is overdue, and due a copy, at this multiple of its expected time
 constexpr double kPaceGain = 0.2;         // weight of the newest answer in a replica's pace
 constexpr Span kPaceMemory = 10s;         // a replica's pace drifts back to the fleet's over this
 constexpr double kOpening = 3;            // a call to be opened counts as load at this multiple of its cost
