--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -58,7 +58,7 @@
 constexpr double kCalmWait = 2;           // calm while answers take up to this multiple of their own work
 constexpr double kJammedWait = 4;         // and jammed from this
 constexpr double kStretchGain = 0.05;     // weight of the newest multiget in its op type's stretch
-constexpr double kColdUse = 0.8;          // share of the warm-up budget that is used
+constexpr double kColdUse = 1.0;          // share of the warm-up budget that is used
 // clang-format on
 
 double seconds(Span s) { return static_cast<double>(s.count()) * 1e-6; }
@@ -339,7 +339,6 @@
         believe(r, mg.op_type, 0, 1);
         break;
       case Fate::pushed_back:
-        believe(r, mg.op_type, 0, 0.5);
         learn_pace(r, r.pace * 2);
         break;
       case Fate::revoked:
@@ -677,7 +676,7 @@
   int pick(const Part& part) {
     holders(part);
     const Multiget& mg = multigets.at(part.multiget);
-    const double trust = type_of(mg).repeat == Repeat::retriable ? 0.6 : 0.9;
+    const double trust = type_of(mg).repeat == Repeat::retriable ? 0.4 : 0.9;
     std::erase_if(candidates, [&](const Candidate& c) { return !may_send(part, rep(c.replica)); });
     if (candidates.empty()) return -1;
     const auto tried = [&](const Candidate& c) {
