Probes taken out; lost parts counted by weight; the last answer timed by the host's tick

A part that can neither return nor be sent again ended its multiget even where the rest could still make an answer; now its weight counts. The slack before the client leaves is a glance and two ticks.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -12,7 +12,6 @@
 //   budget
 //   4. warm-up    what a cold replica may be sent: this gatherer's fair share of a budget over the window
 //   5. admission  pushing back at once what cannot be finished in time, least important first
-//   6. probes     asking after replicas that are in doubt
 #include "choice.h"
 
 #include <algorithm>
@@ -43,9 +42,8 @@
 constexpr Span kTypeMemory = 20s;         // and that about one op type more slowly, as it is rarer
 constexpr Span kBeliefMemory = 6s;        // evidence about a replica as a whole fades over this
 constexpr double kPrior = 2;              // successes that a replica is credited with
-constexpr Span kSlack = 15ms;             // the last answer comes this long before the client leaves
 constexpr Span kGlance = 10ms;            // how often what is in hand is looked over
-constexpr double kOverdue = 4;            // a send is overdue, and due a copy, at this multiple of its expected time
+constexpr double kOverdue = 4;            // multiple of its expectation at which a send is due a copy
 constexpr double kPaceGain = 0.2;         // weight of the newest answer in a replica's pace
 constexpr Span kPaceMemory = 10s;         // a replica's pace drifts back to the fleet's over this
 constexpr double kOpening = 3;            // a call to be opened counts as load at this multiple of its cost
@@ -224,7 +222,7 @@
     mg.op_type = std::clamp(ask.op_type, 0, static_cast<int>(op_types.size()) - 1);
     mg.customer = ask.customer;
     mg.taken = now;
-    mg.last_moment = ask.client_leaves - kSlack;
+    mg.last_moment = ask.client_leaves - kGlance - 2 * contract.time("tick", 5ms);
     mg.awaited = ask.parts;
     mg.importance = type_of(mg).importance * within_share(ask.customer);
     hand.push_back(place);
@@ -358,7 +356,7 @@
         if (may_repeat(part, mg)) {
           await(place);
         } else {
-          mg.doomed = true;
+          mg.weight_lost += part.weight;
         }
       }
     }
@@ -372,18 +370,6 @@
     op.part_work *= work < op.part_work ? 0.95 : 1.0167;
   }
 
-  void probe_ended(std::string_view server, Fate fate, Span, const LoadReport&) {
-    Replica* r = replica_of(server);
-    if (r == nullptr) return;
-    r->probes_out = std::max(0, r->probes_out - 1);
-    if (fate == Fate::returned) {
-      believe(r->belief, 0.5, 0, kBeliefMemory);
-      r->belief.bad *= 0.7;
-    } else {
-      believe(r->belief, 0, 0.5, kBeliefMemory);
-    }
-  }
-
   void client_left(const Rid& id) {
     const int place = multigets.find(id);
     if (place < 0 || multigets.at(place).closed) return;
@@ -463,7 +449,7 @@
     if (second_step_follows) {
       mg.first_step_whole = whole;
       mg.step = 2;
-      mg.weight_in = 0;
+      mg.weight_in = mg.weight_lost = 0;
       mg.awaited = std::min(op.second_step, mg.returned_parts);
       for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
         if (!parts.at(p).returned) {
@@ -492,7 +478,11 @@
       const bool late = now >= mg.taken + op.latency_budget;
       const bool floor_in = op.floor < op.need && mg.awaited == 0 && mg.weight_in >= op.floor - kRounding;
       const double whole_later = late ? 0 : op.late_share;
-      if (now >= mg.last_moment || mg.doomed || (late && op.partial > whole_later && floor_in)) {
+      // What can no longer come ends the multiget at once, unless the rest may still make an answer.
+      const double possible = 1 - mg.weight_lost + kRounding;
+      const bool hopeless =
+          possible < std::min(need, op.floor) || (possible < need && floor_in && mg.sends_out == 0);
+      if (now >= mg.last_moment || hopeless || (late && op.partial > whole_later && floor_in)) {
         if (floor_in) return finish(place, Ending::answer, false, Span::zero());
         return finish(place, Ending::push_back, false, Span::zero());
       }
@@ -852,19 +842,6 @@
     return plan[plan_cursor++];
   }
 
-  std::optional<std::string_view> next_probe() {
-    if (!contract.flag("limits.probing", false)) return std::nullopt;
-    for (Replica& r : replicas) {
-      if (r.standing != Standing::up || r.probes_out > 0 || (r.probed_at && now - *r.probed_at < 1s))
-        continue;
-      if (r.belief.bad < r.belief.good) continue;
-      r.probed_at = now;
-      r.probes_out += 1;
-      return r.server;
-    }
-    return std::nullopt;
-  }
-
   std::optional<ListCall> next_list_call() {
     if (contract.word("registry-mode", "push") != "ask" || watching || now < ask_from) return std::nullopt;
     if (asked_at && now - *asked_at < contract.time("contract.ask-every", 10s) / 2) return std::nullopt;
@@ -950,14 +927,10 @@
 void Choice::send_ended(const Rid& part, int send, Fate fate, Span elapsed, const LoadReport& load) {
   mind_->send_ended(part, send, fate, elapsed, load);
 }
-void Choice::probe_ended(std::string_view server, Fate fate, Span elapsed, const LoadReport& load) {
-  mind_->probe_ended(server, fate, elapsed, load);
-}
 void Choice::client_left(const Rid& multiget) { mind_->client_left(multiget); }
 std::optional<Verdict> Choice::next_verdict() { return mind_->next_verdict(); }
 std::optional<Withdrawal> Choice::next_withdrawal() { return mind_->next_withdrawal(); }
 std::optional<Send> Choice::next_send() { return mind_->next_send(); }
-std::optional<std::string_view> Choice::next_probe() { return mind_->next_probe(); }
 std::optional<ListCall> Choice::next_list_call() { return mind_->next_list_call(); }
 std::optional<std::string> Choice::next_note() { return mind_->next_note(); }
 std::optional<Span> Choice::next_wake() { return mind_->next_wake(); }
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -87,10 +87,10 @@
   int step = 1;
   int returned_parts = 0;
   int sends_out = 0;
-  double weight_in = 0;  // of the present step
+  double weight_in = 0;    // of the present step
+  double weight_lost = 0;  // of its parts that can neither return nor be sent again
   bool first_step_whole = true;
   bool admitted = false;
-  bool doomed = false;  // a part can neither return nor be sent again
   bool closed = false;
 };
 
@@ -120,8 +120,6 @@
   std::vector<Belief> by_type;  // from those to one op type each
   double pace = 1;
   double hush = 1;  // how far the oldest send is over what was expected
-  std::optional<Span> probed_at;
-  int probes_out = 0;
   // in this turn
   double assigned = 0;
   int call_parts = 0;
--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -102,7 +102,6 @@
       to = s->server;
       tell("send " + plain(s->part) + " to " + to);
     }
-    while (const auto p = choice_.next_probe()) tell("probe " + std::string(*p));
     while (const auto c = choice_.next_list_call())
       tell(*c == ListCall::watch ? "watch the list" : "fetch the list");
     while (choice_.next_note()) {
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -182,6 +182,55 @@
   h.decide();
 }
 
+// A part that can neither return nor be sent again ends its multiget, unless the rest can still make an
+// answer.
+void lost_parts() {
+  Terms terms = ordinary_terms();
+  terms["categories.0.effect"] = std::string("once");
+  terms["specifics.class-floor.0"] = 0.5;
+  for (const int errors : {1, 3}) {
+    Gatherer g(terms);
+    g.say("-- errors " + std::to_string(errors));
+    g.list("AB");
+    g.take("m", "abcd");
+    g.decide();
+    for (int i = 0; i < errors; ++i) g.ended(std::string("m") + static_cast<char>('a' + i), Fate::app_error);
+    g.at(50ms);
+    g.decide();
+    g.ended("md", Fate::returned);
+    g.at(100ms);
+    g.decide();
+    g.ended("mc", Fate::returned);
+    g.at(150ms);
+    g.decide();
+  }
+}
+
+// A list that lies: a replica it calls up cannot be reached. It is soon left out, and tried again now and
+// then.
+void list_lies() {
+  Gatherer g(ordinary_terms());
+  g.quiet = true;
+  g.list("ABC");
+  int tried = 0;
+  for (int i = 0; i < 300; ++i) {
+    g.at(i * 50ms);
+    const std::string name =
+        std::string(1, static_cast<char>('a' + i % 26)) + static_cast<char>('a' + i / 26);
+    g.take(name, "p", 60);
+    const std::string to = g.decide();
+    tried += to == "B" ? 1 : 0;
+    g.ended(name + "p", to == "B" ? Fate::dial_failed : Fate::returned, 0, 100ms);
+    g.decide();
+    g.ended(name + "p", Fate::returned, 1, 100ms);
+    g.decide();
+    if (i % 60 == 59) {
+      g.say("sent to the lost one in these 3 s: " + std::to_string(tried));
+      tried = 0;
+    }
+  }
+}
+
 // Rule 6: further sends stay within the stated budget: here one, and a tenth of the three taken.
 void rule_budget() {
   Terms terms = ordinary_terms();
@@ -227,6 +276,8 @@
   if (which == "rule_drains") rule_drains();
   if (which == "rule_cold_share") rule_cold_share();
   if (which == "rule_honest") rule_honest();
+  if (which == "lost_parts") lost_parts();
+  if (which == "list_lies") list_lies();
   if (which == "rule_budget") rule_budget();
   if (which == "list_asked") list_asked();
   return 0;
