--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -231,6 +231,51 @@
   }
 }
 
+// B answers ten times slower and A quickly fails half, from 5 s to 15 s: B keeps little of the work, A loses
+// some. long as it lasts.
+void sick_replicas() {
+  Gatherer g(ordinary_terms());
+  g.quiet = true;
+  g.list("ABCD");
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 400; ++i) {
+    g.at(i * 50ms);
+    const std::string name =
+        std::string(1, static_cast<char>('a' + i % 26)) + static_cast<char>('a' + i / 26);
+    g.take(name, "p", 60);
+    const std::string to = g.decide();
+    sent[to] += 1;
+    const bool sick = i >= 100 && i < 300;
+    const bool fails = sick && to == "A" && i % 2 == 0;
+    g.ended(name + "p", fails ? Fate::app_error : Fate::returned, 0, sick && to == "B" ? 1000ms : 100ms);
+    g.decide();
+    g.ended(name + "p", Fate::returned, 1, 100ms);
+    g.decide();
+    if (i % 100 == 99) {
+      g.say("A " + std::to_string(sent["A"]) + " B " + std::to_string(sent["B"]) + " C " +
+            std::to_string(sent["C"]) + " D " + std::to_string(sent["D"]));
+      sent.clear();
+    }
+  }
+}
+
+// Clients that all come again at once, far over what can be done: what is admitted still fits the latency
+// budget.
+void stampede() {
+  Gatherer g(ordinary_terms());
+  g.quiet = true;
+  g.list("AB");
+  int admitted = 0;
+  for (int i = 0; i < 90; ++i) {
+    const std::string name =
+        std::string(1, static_cast<char>('a' + i % 26)) + static_cast<char>('a' + i / 26);
+    g.take(name, "p", 200);
+    admitted += g.decide().empty() ? 0 : 1;
+    g.at((i + 1) * 1ms);
+  }
+  g.say("sent on at once: " + std::to_string(admitted) + " of 90");
+}
+
 // Rule 6: further sends stay within the stated budget: here one, and a tenth of the three taken.
 void rule_budget() {
   Terms terms = ordinary_terms();
@@ -278,6 +323,8 @@
   if (which == "rule_honest") rule_honest();
   if (which == "lost_parts") lost_parts();
   if (which == "list_lies") list_lies();
+  if (which == "sick_replicas") sick_replicas();
+  if (which == "stampede") stampede();
   if (which == "rule_budget") rule_budget();
   if (which == "list_asked") list_asked();
   return 0;
