--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -513,7 +513,9 @@
       holders(parts.at(p));
       for (const Candidate& c : candidates) {
         Replica& r = rep(c.replica);
-        best = std::min(best, estimate(r, parts.at(p).cost + call_cost));
+        // Without warmth: a cold replica's pace already holds its coldness, and counted twice it makes a
+        // deploy look like a jam. Harm: the first multigets after a start may be admitted too easily.
+        best = std::min(best, estimate(r, parts.at(p).cost + call_cost) * warmth(r));
       }
       longest = std::max(longest, best);
     }
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -276,6 +276,14 @@
   g.say("sent on at once: " + std::to_string(admitted) + " of 90");
 }
 
+// A deploy is no jam: with only cold replicas left, an ordinary multiget is taken on, not pushed back.
+void cold_is_no_jam() {
+  Gatherer g(ordinary_terms());
+  g.list("AB", Standing::up, 0ms);
+  g.take("m", "a", 700);
+  g.decide();
+}
+
 // Rule 6: further sends stay within the stated budget: here one, and a tenth of the three taken.
 void rule_budget() {
   Terms terms = ordinary_terms();
@@ -325,6 +333,7 @@
   if (which == "list_lies") list_lies();
   if (which == "sick_replicas") sick_replicas();
   if (which == "stampede") stampede();
+  if (which == "cold_is_no_jam") cold_is_no_jam();
   if (which == "rule_budget") rule_budget();
   if (which == "list_asked") list_asked();
   return 0;
