--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -56,6 +56,11 @@
 constexpr double kCalmWait = 2;           // calm while answers take up to this multiple of their own work
 constexpr double kJammedWait = 4;         // and jammed from this
 constexpr double kStretchGain = 0.05;     // weight of the newest multiget in its op type's stretch
+constexpr Span kNews = 1s;                // a reported load drifts back to the fleet's over this
+constexpr Span kStale = 500ms;            // a replica with news older than this is asked before it is sent to
+constexpr Span kLook = 40ms;              // how long a multiget waits for that
+constexpr double kAtOnce = 2;             // parts that a replica is taken to work on at once
+constexpr double kMissGain = 0.1;         // weight of the newest multiget in the share that misses its budget
 constexpr double kColdUse = 1.0;          // share of the warm-up budget that is used
 // clang-format on
 
@@ -103,6 +108,9 @@
       c.tokens = c.allowance;
       customers.push_back(c);
     }
+    probing = contract.flag("limits.probing", false);
+    look_price = contract.at_least("prices.probe", 0, 0) + contract.at_least("prices.handshake", 0, 0);
+    for (int i = 0; i < 4; ++i) fields.push_back(contract.word("telemetry.fields." + std::to_string(i), ""));
     taken.set(contract.time("contract.resend-span", 10s));
     further.set(contract.time("contract.resend-span", 10s));
     by_cell.resize(static_cast<std::size_t>(cells));
@@ -271,6 +279,36 @@
     pending.push_back(place);
   }
 
+  // What a replica holds of all gatherers' work, from its report and from how long its answer took.
+  void hear_load(Replica& r, const LoadReport& report, Span waited) {
+    settle(r);
+    double held = 0;
+    bool told = false;
+    for (int i = 0; i < report.count; ++i) {
+      const double value = report.value[static_cast<std::size_t>(i)];
+      const std::string& field = fields[static_cast<std::size_t>(i)];
+      if (field == "active") held = std::max(held, value);
+      if (field == "waiting") held += value;
+      if (field == "cpu") held = std::max(held, 0.0) + (told ? 0 : kAtOnce * value);
+      told |= field == "active";
+    }
+    const double foreign = std::max(held * mean_charge - r.out, kAtOnce * micros(waited));
+    fleet_foreign += 0.02 * (foreign - fleet_foreign);
+    r.foreign = foreign;
+    r.news_at = now;
+  }
+
+  void probe_ended(std::string_view server, Fate fate, Span elapsed, const LoadReport& report) {
+    Replica* r = replica_of(server);
+    if (r == nullptr) return;
+    r->asked.reset();
+    if (fate == Fate::returned) {
+      hear_load(*r, report, elapsed);
+    } else {
+      believe(r->belief, 0, 1, kBeliefMemory);
+    }
+  }
+
   void forget(Replica& r) {
     r.belief = Belief{kPrior, 0, now, 1, {}};
     r.by_type.assign(op_types.size(), r.belief);
@@ -296,6 +334,7 @@
     if (age <= Span::zero()) return;
     r.recent *= fade(age, kRecent);
     r.flow *= fade(age, kFlowMemory);
+    r.foreign = fleet_foreign + (r.foreign - fleet_foreign) * fade(age, kNews);
     // A replica shunned for its pace brings no news of it; without this it would be shunned for good.
     r.pace = fleet_pace * std::pow(r.pace / fleet_pace, fade(age, kPaceMemory));
     r.decayed_at = now;
@@ -307,7 +346,7 @@
     fleet_pace *= std::pow(std::clamp(ratio / fleet_pace, 0.1, 10.0), kPaceGain / 10);
   }
 
-  void send_ended(const Rid& id, int send, Fate fate, Span elapsed, const LoadReport&) {
+  void send_ended(const Rid& id, int send, Fate fate, Span elapsed, const LoadReport& report) {
     const int place = parts.find(id);
     if (place < 0) return;
     Part& part = parts.at(place);
@@ -322,6 +361,7 @@
     r.out = std::max(0.0, r.out - s.charge);
     if (fate == Fate::pushed_back || fate == Fate::dial_failed || fate == Fate::unused)
       s.may_have_run = false;
+    if (report.count > 0) hear_load(r, report, 0s);
     const double ratio = micros(elapsed) / std::max(s.base, 1.0);
     switch (fate) {
       case Fate::returned:
@@ -365,7 +405,7 @@
 
   // Where no hints come, a part's cost is the lower quartile of what an otherwise idle replica took for it.
   void learn_work(OpType& op, const SendRecord& s, const Part& part, Span elapsed) {
-    if (s.base > s.charge * 1.05 || part.step > 1) return;
+    if (!s.alone || part.step > 1) return;
     const double work = std::max(micros(elapsed) - call_cost, 1000.0);
     op.part_work *= work < op.part_work ? 0.95 : 1.0167;
   }
@@ -373,7 +413,7 @@
   void client_left(const Rid& id) {
     const int place = multigets.find(id);
     if (place < 0 || multigets.at(place).closed) return;
-    close(place);
+    close(place, false);
     release_if_done(place);
   }
 
@@ -391,8 +431,10 @@
     }
   }
 
-  void close(int place) {
+  void close(int place, bool answered) {
     Multiget& mg = multigets.at(place);
+    const bool in_time = answered && now <= mg.taken + type_of(mg).latency_budget;
+    missed += kMissGain * ((in_time ? 0 : 1) - missed);
     mg.closed = true;
     if (mg.admitted && mg.expected > 0) {
       double& stretch = type_of(mg).stretch;
@@ -458,7 +500,7 @@
         }
       }
     } else {
-      close(place);
+      close(place, ending == Ending::answer);
       release_if_done(place);
     }
     return verdict;
@@ -489,8 +531,10 @@
       if (late && (op.late_share <= 0.0 || fleet_pace > 3))
         return finish(place, Ending::push_back, false, 0s);
       if (!mg.admitted && mg.awaited == 0) {
+        if (looking(mg)) continue;
         mg.expected = expected_time(mg);
-        const double need_us = mg.expected * op.stretch;
+        // Lost sends stretch multigets as a jam does, but pushing back helps against a jam only.
+        const double need_us = mg.expected * std::pow(op.stretch, jam());
         if (need_us > allowed_time(mg, op)) {
           note = "pushing back: more is asked for than can be finished in time";
           const double wait = std::isfinite(need_us) ? std::max(need_us / 2, 100'000.0) : 500'000.0;
@@ -504,6 +548,50 @@
     return std::nullopt;
   }
 
+  // ---- looks ----
+
+  // At full size a gatherer rarely meets a server twice within seconds, so its own sends tell little of what
+  // it will find. Before a multiget is placed, the replicas it may use are asked, where what it would miss
+  // otherwise outweighs the price.
+  bool looking(Multiget& mg) {
+    if (!probing) return false;
+    if (!mg.looked_at) {
+      mg.looked_at = now;
+      double of = 0;
+      asked_now.clear();
+      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
+        holders(parts.at(p));
+        of += 1;
+        for (const Candidate& c : candidates) {
+          Replica& r = rep(c.replica);
+          if (r.asked || now - r.news_at < kStale) continue;
+          r.asked = now;
+          asked_now.push_back(c.replica);
+        }
+      }
+      if (missed * of < look_price * static_cast<double>(asked_now.size())) {
+        for (const int i : asked_now) rep(i).asked.reset();
+      } else {
+        looks.insert(looks.end(), asked_now.begin(), asked_now.end());
+      }
+    }
+    if (now - *mg.looked_at >= kLook) return false;
+    for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
+      holders(parts.at(p));
+      for (const Candidate& c : candidates) {
+        if (rep(c.replica).asked) return true;
+      }
+    }
+    return false;
+  }
+
+  std::optional<std::string_view> next_probe() {
+    if (looks.empty()) return std::nullopt;
+    const int i = looks.back();
+    looks.pop_back();
+    return rep(i).server;
+  }
+
   // ---- admission ----
 
   double expected_time(const Multiget& mg) {
@@ -535,7 +623,7 @@
     mean_density += 0.02 * (density - mean_density);
     // What is worth something when late as well may be tried at worse odds.
     const double odds = (kFillCalm + (kFill - kFillCalm) * jam()) * (1 + 2 * op.late_share);
-    const double fill = std::clamp(odds * std::sqrt(density / mean_density), 0.25, 2.0);
+    const double fill = std::clamp(odds * std::pow(density / mean_density, jam() / 2), 0.25, 2.0);
     return fill * micros(std::min(op.latency_budget, mg.last_moment - mg.taken));
   }
 
@@ -559,16 +647,21 @@
 
   double slowness(const Replica& r) const { return r.pace * r.hush / warmth(r); }
 
+  // Others' work there; a replica that has not answered yet is expected to take several times as long still.
+  double foreign(const Replica& r) const {
+    return r.asked ? std::max(r.foreign, kAtOnce * kOverdue * micros(now - *r.asked)) : r.foreign;
+  }
+
   // How long a send of this cost is expected to take.
   double estimate(const Replica& r, double cost) const {
-    return slowness(r) * (cost + (r.out + r.assigned) / 2);
+    return slowness(r) * (cost + (r.out + r.assigned + foreign(r)) / kAtOnce);
   }
 
   // A call's own cost is load, and it is taken from all that the fleet can do, not from this replica alone.
   double load(Replica& r) {
     settle(r);
     const double opening = r.call_parts == 0 ? kOpening * call_cost : 0;
-    return slowness(r) * (r.assigned + r.out + r.recent + opening);
+    return slowness(r) * (r.assigned + r.out + r.recent + foreign(r) + opening);
   }
 
   // The replicas that hold a part's shard and are up, in hash order.
@@ -727,7 +820,9 @@
     s.replica = to;
     s.at = now;
     s.charge = cost;
-    s.base = part.cost + call_cost + (r.out + r.assigned - (opens ? 0 : call_cost)) / 2;
+    s.alone = r.out + r.assigned <= (opens ? 0 : call_cost) + 0.05 * cost;
+    s.base = part.cost + call_cost + (r.out + r.assigned + foreign(r) - (opens ? 0 : call_cost)) / kAtOnce;
+    mean_charge += 0.02 * (cost - mean_charge);
     // Measured by the fleet, so that a replica known as slow does not get more time for it.
     s.expect = std::min(slowness(r), fleet_pace / warmth(r)) * s.base;
     s.out = true;
@@ -903,6 +998,14 @@
   double fleet_pace = 1;
   double fleet_wait = 1;  // time that answers lately took for their own work
   double mean_density = 0;
+  bool probing = false;
+  double look_price = 0;
+  double missed = 0.1;  // share of own multigets not answered within the latency budget
+  double mean_charge = 100'000;
+  double fleet_foreign = 0;
+  std::vector<std::string> fields;
+  std::vector<int> looks;
+  std::vector<int> asked_now;
   bool list_whole = false;
   bool list_remembered = false;
   bool watching = false;
@@ -933,6 +1036,10 @@
 std::optional<Verdict> Choice::next_verdict() { return mind_->next_verdict(); }
 std::optional<Withdrawal> Choice::next_withdrawal() { return mind_->next_withdrawal(); }
 std::optional<Send> Choice::next_send() { return mind_->next_send(); }
+void Choice::probe_ended(std::string_view server, Fate fate, Span elapsed, const LoadReport& load) {
+  mind_->probe_ended(server, fate, elapsed, load);
+}
+std::optional<std::string_view> Choice::next_probe() { return mind_->next_probe(); }
 std::optional<ListCall> Choice::next_list_call() { return mind_->next_list_call(); }
 std::optional<std::string> Choice::next_note() { return mind_->next_note(); }
 std::optional<Span> Choice::next_wake() { return mind_->next_wake(); }
--- a/src/choice.h
+++ b/src/choice.h
@@ -30,12 +30,14 @@
   void multiget_taken(const MultigetAsk& ask);
   void part_taken(const PartAsk& ask);
   void send_ended(const Rid& part, int send, Fate fate, Span elapsed, const LoadReport& load);
+  void probe_ended(std::string_view server, Fate fate, Span elapsed, const LoadReport& load);
   void client_left(const Rid& multiget);
 
   // What is decided, to be pulled in this order.
   std::optional<Verdict> next_verdict();
   std::optional<Withdrawal> next_withdrawal();
   std::optional<Send> next_send();
+  std::optional<std::string_view> next_probe();
   std::optional<ListCall> next_list_call();
   std::optional<std::string> next_note();
   std::optional<Span> next_wake();  // from now
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -13,6 +13,8 @@
 
 namespace marbledyke {
 
+using namespace std::chrono_literals;
+
 inline constexpr std::size_t kMostSends = 8;  // places for the sends of one part
 
 enum class Repeat { retriable, deduped, non_retriable };
@@ -48,6 +50,7 @@
   bool may_have_run = true;  // until proven not to
   bool withdrawn = false;
   bool counted_late = false;
+  bool alone = false;  // nothing else of ours was there
 };
 
 struct Part {
@@ -90,6 +93,7 @@
   double weight_in = 0;    // of the present step
   double weight_lost = 0;  // of its parts that can neither return nor be sent again
   bool first_step_whole = true;
+  std::optional<Span> looked_at;
   bool admitted = false;
   bool closed = false;
 };
@@ -115,6 +119,9 @@
   double out = 0;     // own cost in flight
   double recent = 0;  // own cost recently sent
   double flow = 0;
+  double foreign = 0;         // others' work there
+  Span news_at{-1h};          // when that was last told
+  std::optional<Span> asked;  // a probe is out since
   Span decayed_at{};
   Belief belief;                // from all its answers
   std::vector<Belief> by_type;  // from those to one op type each
--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -168,6 +168,9 @@
     } else if (type == "Finished") {
       to.choice.send_ended(rid(msg), static_cast<int>(whole(msg, "try")), fate(text(msg, "rc")),
                            Span(whole_or(msg, "time-taken", 0)), load(msg));
+    } else if (type == "Echo") {
+      to.choice.probe_ended(text(msg, "server"), fate(text(msg, "rc")), Span(whole_or(msg, "time-taken", 0)),
+                            load(msg));
     } else if (type == "Aborted") {
       to.choice.client_left(rid(msg));
     }
@@ -273,6 +276,7 @@
                    {"server", send->server},
                    {"not-past", send->not_past.count() + from.epoch}});
     }
+    while (const auto server = choice.next_probe()) say("Ping", {{"server", *server}});
     while (const auto call = choice.next_list_call()) {
       if (*call == marbledyke::ListCall::watch) {
         say("Observe", {{"complete", true}});
