Silent looks weigh heavily; bad sends reopen looking at once

Cause: on one-sided loss a look that stays out is the only early sign, and it counted for less than an ordinary queue.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -59,6 +59,7 @@
 constexpr Span kNews = 1s;                // a reported load drifts back to the fleet's over this
 constexpr Span kStale = 500ms;            // a replica with news older than this is asked before it is sent to
 constexpr Span kLook = 40ms;              // how long a multiget waits for that
+constexpr double kSilence = 20;           // an unanswered look stands for this multiple of the time it is out
 constexpr double kAtOnce = 2;             // parts that a replica is taken to work on at once
 constexpr double kMissGain = 0.1;         // weight of the newest multiget in the share that misses its budget
 constexpr double kColdUse = 1.0;          // share of the warm-up budget that is used
@@ -305,7 +306,8 @@
     if (fate == Fate::returned) {
       hear_load(*r, report, elapsed);
     } else {
-      believe(r->belief, 0, 1, kBeliefMemory);
+      believe(r->belief, 0, 2, kBeliefMemory);
+      missed += kMissGain / 4 * (1 - missed);
     }
   }
 
@@ -326,6 +328,7 @@
   // does harm where op types are rare and a chance failure keeps a sound replica out for long.
   void believe(Replica& r, int op_type, double good, double bad) {
     believe(r.belief, good, bad, kBeliefMemory);
+    if (bad > 0) missed += kMissGain / 4 * (1 - missed);
     believe(r.by_type[static_cast<std::size_t>(op_type)], good, bad, kTypeMemory);
   }
 
@@ -649,7 +652,7 @@
 
   // Others' work there; a replica that has not answered yet is expected to take several times as long still.
   double foreign(const Replica& r) const {
-    return r.asked ? std::max(r.foreign, kAtOnce * kOverdue * micros(now - *r.asked)) : r.foreign;
+    return r.asked ? std::max(r.foreign, kAtOnce * kSilence * micros(now - *r.asked)) : r.foreign;
   }
 
   // How long a send of this cost is expected to take.
