As many looks as half of what the multiget would miss is worth

The number of looks is now bounded by the share of own multigets missed over the prices of probes and handshakes, first holders of each part first.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -110,7 +110,7 @@
       customers.push_back(c);
     }
     probing = contract.flag("limits.probing", false);
-    look_price = contract.at_least("prices.probe", 0, 0) + contract.at_least("prices.handshake", 0, 0);
+    look_price = contract.at_least("prices.probe", 0, 0) + contract.at_least("prices.handshake", 0, 0) + 1e-4;
     for (int i = 0; i < 4; ++i) fields.push_back(contract.word("telemetry.fields." + std::to_string(i), ""));
     taken.set(contract.time("contract.resend-span", 10s));
     further.set(contract.time("contract.resend-span", 10s));
@@ -328,7 +328,7 @@
   // does harm where op types are rare and a chance failure keeps a sound replica out for long.
   void believe(Replica& r, int op_type, double good, double bad) {
     believe(r.belief, good, bad, kBeliefMemory);
-    if (bad > 0) missed += kMissGain / 4 * (1 - missed);
+    if (bad >= 1) missed += kMissGain / 4 * (1 - missed);
     believe(r.by_type[static_cast<std::size_t>(op_type)], good, bad, kTypeMemory);
   }
 
@@ -560,23 +560,20 @@
     if (!probing) return false;
     if (!mg.looked_at) {
       mg.looked_at = now;
-      double of = 0;
-      asked_now.clear();
-      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
-        holders(parts.at(p));
-        of += 1;
-        for (const Candidate& c : candidates) {
-          Replica& r = rep(c.replica);
+      double worth = 0;
+      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) worth += missed / 2 / look_price;
+      for (int k = 0; k < most_sends; ++k) {
+        for (int p = mg.first_part; p >= 0 && worth >= 1; p = parts.at(p).next) {
+          holders(parts.at(p));
+          if (k >= static_cast<int>(candidates.size())) continue;
+          const std::size_t turn = (parts.at(p).order + static_cast<std::size_t>(k)) % candidates.size();
+          Replica& r = rep(candidates[turn].replica);
           if (r.asked || now - r.news_at < kStale) continue;
           r.asked = now;
-          asked_now.push_back(c.replica);
+          looks.push_back(candidates[turn].replica);
+          worth -= 1;
         }
       }
-      if (missed * of < look_price * static_cast<double>(asked_now.size())) {
-        for (const int i : asked_now) rep(i).asked.reset();
-      } else {
-        looks.insert(looks.end(), asked_now.begin(), asked_now.end());
-      }
     }
     if (now - *mg.looked_at >= kLook) return false;
     for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
@@ -1003,12 +1000,11 @@
   double mean_density = 0;
   bool probing = false;
   double look_price = 0;
-  double missed = 0.1;  // share of own multigets not answered within the latency budget
+  double missed = 0.05;  // share of own multigets not answered within the latency budget
   double mean_charge = 100'000;
   double fleet_foreign = 0;
   std::vector<std::string> fields;
   std::vector<int> looks;
-  std::vector<int> asked_now;
   bool list_whole = false;
   bool list_remembered = false;
   bool watching = false;
