--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -699,14 +699,17 @@
     if (!may_repeat(part, mg)) return false;
     const int out = part.out();
     if (out > 0 && (out > 1 || !contract.flag("limits.second-copies", false))) return false;
-    if (part.sent > 0 && !further_allowed()) return false;
+    if (part.sent > 0 && !further_allowed(out > 0)) return false;
     if (r.standing != Standing::up) return false;
     return cold_allows(r, part.cost + (r.call_parts == 0 ? call_cost : 0));
   }
 
-  // The stated budget for further sends, or the module's own where none is stated; counted to the safe side.
-  bool further_allowed() const {
+  // The stated budget for further sends, or the module's own for second copies where none is stated; counted
+  // to the safe side. A try after a failure adds no work beside the first's, so it needs no budget of ours:
+  // with many parts a multiget and few multigets a gatherer, that kept failed parts waiting until the end.
+  bool further_allowed(bool copy) const {
     const bool stated = contract.has("contract.resend-span");
+    if (!stated && !copy) return true;
     const double free = stated ? contract.at_least("contract.extra-floor", 0, 0) : kOwnFurtherFree;
     const double share = stated ? contract.at_least("contract.extra-per-request", 0, 0) : kOwnFurther;
     return further.at_most(now) + 1 <= free + share * taken.at_least(now);
@@ -826,7 +829,7 @@
     // Measured by the fleet, so that a replica known as slow does not get more time for it.
     s.expect = std::min(slowness(r), fleet_pace / warmth(r)) * s.base;
     s.out = true;
-    if (part.sent > 1) further.add(now);
+    if (part.sent > 1 && (part.out() > 1 || contract.has("contract.resend-span"))) further.add(now);
     r.assigned += cost;
     r.flow += cost;
     if (warmth(r) < 1) r.cold_sends[r.cold_next++ % r.cold_sends.size()] = {now, cost};
