--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -15,6 +15,7 @@
 #include "choice.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <random>
@@ -62,7 +63,6 @@
 constexpr double kSilence = 20;           // an unanswered look stands for this multiple of the time it is out
 constexpr double kAtOnce = 2;             // parts that a replica is taken to work on at once
 constexpr double kMissGain = 0.1;         // weight of the newest multiget in the share that misses its budget
-constexpr double kColdUse = 1.0;          // share of the warm-up budget that is used
 // clang-format on
 
 double seconds(Span s) { return static_cast<double>(s.count()) * 1e-6; }
@@ -111,7 +111,12 @@
     }
     probing = contract.flag("limits.probing", false);
     look_price = contract.at_least("prices.probe", 0, 0) + contract.at_least("prices.handshake", 0, 0) + 1e-4;
-    for (int i = 0; i < 4; ++i) fields.push_back(contract.word("telemetry.fields." + std::to_string(i), ""));
+    bool all_told = false;
+    for (std::size_t i = 0; i < unit.size(); ++i) {
+      const std::string field = contract.word("telemetry.fields." + std::to_string(i), "");
+      all_told |= field == "active";
+      unit[i] = field == "active" || field == "waiting" ? 1 : field == "cpu" && !all_told ? kAtOnce : 0;
+    }
     taken.set(contract.time("contract.resend-span", 10s));
     further.set(contract.time("contract.resend-span", 10s));
     by_cell.resize(static_cast<std::size_t>(cells));
@@ -202,10 +207,12 @@
       if (!r.named) r.standing = Standing::gone;  // absent from a whole list
     }
     for (auto& cell : by_cell) cell.clear();
+    up = 0;
     for (std::size_t i = 0; i < replicas.size(); ++i) {
+      up += replicas[i].standing == Standing::up ? 1 : 0;
       by_cell[static_cast<std::size_t>(replicas[i].cell)].push_back(static_cast<int>(i));
     }
-    had.assign(replicas.size() * static_cast<std::size_t>(shards), 0.0);
+    had.resize(replicas.size() * static_cast<std::size_t>(shards), 0.0);
     candidates.reserve(replicas.size());
     if (!list_remembered) {
       watching = true;
@@ -284,18 +291,9 @@
   void hear_load(Replica& r, const LoadReport& report, Span waited) {
     settle(r);
     double held = 0;
-    bool told = false;
-    for (int i = 0; i < report.count; ++i) {
-      const double value = report.value[static_cast<std::size_t>(i)];
-      const std::string& field = fields[static_cast<std::size_t>(i)];
-      if (field == "active") held = std::max(held, value);
-      if (field == "waiting") held += value;
-      if (field == "cpu") held = std::max(held, 0.0) + (told ? 0 : kAtOnce * value);
-      told |= field == "active";
-    }
-    const double foreign = std::max(held * mean_charge - r.out, kAtOnce * micros(waited));
-    fleet_foreign += 0.02 * (foreign - fleet_foreign);
-    r.foreign = foreign;
+    for (std::size_t i = 0; i < unit.size(); ++i) held += unit[i] * report.value[i];
+    r.foreign = std::max(held * mean_charge - r.out, kAtOnce * micros(waited));
+    fleet_foreign += kWaitGain * (r.foreign - fleet_foreign);
     r.news_at = now;
   }
 
@@ -336,7 +334,6 @@
     const Span age = now - r.decayed_at;
     if (age <= Span::zero()) return;
     r.recent *= fade(age, kRecent);
-    r.flow *= fade(age, kFlowMemory);
     r.foreign = fleet_foreign + (r.foreign - fleet_foreign) * fade(age, kNews);
     // A replica shunned for its pace brings no news of it; without this it would be shunned for good.
     r.pace = fleet_pace * std::pow(r.pace / fleet_pace, fade(age, kPaceMemory));
@@ -716,9 +713,8 @@
   }
 
   // A cold replica falls over when all gatherers together send it more than a multiple of what it can do.
-  // Each keeps to its fair share of that: what it sends an ordinary replica, times warmth and multiple; and
-  // one send a window in any case.
-  bool cold_allows(const Replica& r, double cost) {
+  // Each keeps to its fair share of that: what it sends an ordinary replica, times warmth and multiple.
+  bool cold_allows(Replica& r, double cost) {
     const double warm = warmth(r);
     if (warm >= 1) return true;
     const Span window = contract.time("contract.overload-for", 1s);
@@ -726,19 +722,19 @@
     for (const auto& [at, work] : r.cold_sends) {
       if (work > 0 && now - at <= window) sent += work;
     }
-    if (sent <= 0) return true;
-    double flow = 0;
-    double warm_ones = 0;
-    for (Replica& other : replicas) {
-      if (other.standing != Standing::up || warmth(other) < 1) continue;
-      settle(other);
-      flow += other.flow / seconds(kFlowMemory);
-      warm_ones += 1;
-    }
     // What others of its size carry for this gatherer, or its share of the one core that every replica has.
-    const double carried = std::max(flow / std::max(warm_ones, 1.0), 1e6 / peers);
+    const double flow = warm_flow * fade(now - flow_at, kFlowMemory) / seconds(kFlowMemory);
+    const double carried = std::max(flow / std::max(static_cast<double>(up), 1.0), 1e6 / peers);
     const double multiple = contract.at_least("contract.fall-multiple", 1, 0);
-    return sent + cost <= kColdUse * multiple * warm * carried * seconds(window);
+    const double room = multiple * warm * carried * seconds(window);
+    if (sent > 0 || cost <= room) return sent + cost <= room;
+    // Many gatherers have less than one send each in a window; each then draws once a window whether it has
+    // it.
+    if (now - r.turn_at > window) {
+      r.turn_at = now;
+      r.turn = std::uniform_real_distribution<double>(0, 1)(chance) * cost < room;
+    }
+    return r.turn;
   }
 
   // Whether a doubtful replica gets work in this turn is drawn from the posterior of its chance of success.
@@ -807,8 +803,8 @@
   }
 
   double& had_of(int shard, int replica) {
-    return had[static_cast<std::size_t>(shard % shards) * replicas.size() +
-               static_cast<std::size_t>(replica)];
+    return had[static_cast<std::size_t>(replica) * static_cast<std::size_t>(shards) +
+               static_cast<std::size_t>(shard % shards)];
   }
 
   void commit(int place, int to) {
@@ -816,6 +812,7 @@
     Multiget& mg = multigets.at(part.multiget);
     Replica& r = rep(to);
     const bool opens = r.call_parts == 0;
+    touched.push_back(to);
     r.call_parts = (r.call_parts + 1) % call_room;
     const double cost = part.cost + (opens ? call_cost : 0);
     SendRecord& s = part.sends[static_cast<std::size_t>(part.sent++)];
@@ -831,20 +828,24 @@
     s.out = true;
     if (part.sent > 1 && (part.out() > 1 || contract.has("contract.resend-span"))) further.add(now);
     r.assigned += cost;
-    r.flow += cost;
-    if (warmth(r) < 1) r.cold_sends[r.cold_next++ % r.cold_sends.size()] = {now, cost};
+    if (warmth(r) < 1) {
+      r.cold_sends[r.cold_next++ % r.cold_sends.size()] = {now, cost};
+    } else {
+      warm_flow = warm_flow * fade(now - flow_at, kFlowMemory) + cost;
+      flow_at = now;
+    }
     mg.sends_out += 1;
-    had_of(part.shard, to) += 1;
+    had_of(part.shard, to) += had_unit;
     plan.push_back({part.id, r.server, mg.last_moment});
   }
 
   // Looks over what is out: replicas that keep silent, and parts that want a second copy.
   void look_over() {
-    for (Replica& r : replicas) {
-      r.hush = 1;
-      r.assigned = 0;
-      r.call_parts = 0;
+    for (const int i : touched) {
+      rep(i).hush = 1;
+      rep(i).call_parts = 0;
     }
+    touched.clear();
     for (const int m : hand) {
       for (int p = multigets.at(m).first_part; p >= 0; p = parts.at(p).next) {
         Part& part = parts.at(p);
@@ -853,7 +854,10 @@
           if (!s.out || s.withdrawn) continue;
           Replica& r = rep(s.replica);
           const double over = micros(now - s.at) / std::max(s.expect, 1.0);
-          if (over > 1.5) r.hush = std::max(r.hush, over);
+          if (over > 1.5) {
+            r.hush = std::max(r.hush, over);
+            touched.push_back(s.replica);
+          }
           if (over > kOverdue && !s.counted_late) {
             s.counted_late = true;
             believe(r, multigets.at(m).op_type, 0, 0.5);
@@ -916,12 +920,15 @@
     }
     pending.resize(kept);
     want_copies();
-    const double keep = fade(now - had_at, kShardMemory);
-    if (now - had_at > 100ms) {
-      for (double& h : had) h *= keep;
-      had_at = now;
+    // Newer parts count more instead of older ones less; only their ratios are used.
+    had_unit /= fade(now - had_at, kShardMemory);
+    had_at = now;
+    if (had_unit > 1e100) {
+      for (double& h : had) h /= had_unit;
+      had_unit = 1;
     }
-    for (Replica& r : replicas) {
+    for (const int i : touched) {
+      Replica& r = rep(i);
       settle(r);
       r.out += r.assigned;
       r.recent += r.assigned;
@@ -992,6 +999,7 @@
   std::map<std::string, int, std::less<>> by_server;
   std::vector<std::vector<int>> by_cell;
   std::vector<double> had;  // recent parts by shard and replica
+  double had_unit = 1;
   Span had_at{};
   Span now{};
   std::size_t verdict_cursor = 0;
@@ -1006,8 +1014,12 @@
   double missed = 0.05;  // share of own multigets not answered within the latency budget
   double mean_charge = 100'000;
   double fleet_foreign = 0;
-  std::vector<std::string> fields;
+  double warm_flow = 0;  // own cost sent to warm replicas, faded
+  Span flow_at{};
+  int up = 0;
+  std::array<double, 4> unit{};  // parts in hand that one of each reported value stands for
   std::vector<int> looks;
+  std::vector<int> touched;  // replicas whose state of this turn is to be cleared
   bool list_whole = false;
   bool list_remembered = false;
   bool watching = false;
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -116,9 +116,8 @@
   Standing standing = Standing::gone;
   bool named = false;  // in the list being read
   std::optional<Span> started;
-  double out = 0;     // own cost in flight
-  double recent = 0;  // own cost recently sent
-  double flow = 0;
+  double out = 0;             // own cost in flight
+  double recent = 0;          // own cost recently sent
   double foreign = 0;         // others' work there
   Span news_at{-1h};          // when that was last told
   std::optional<Span> asked;  // a probe is out since
@@ -132,6 +131,8 @@
   int call_parts = 0;
   std::array<std::pair<Span, double>, 32> cold_sends{};
   std::size_t cold_next = 0;
+  Span turn_at{-1h};  // while cold: when it was last drawn whether this gatherer may send, and what came out
+  bool turn = false;
 };
 
 }  // namespace marbledyke
