--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -62,6 +62,7 @@
 constexpr Span kLook = 40ms;              // how long a multiget waits for that
 constexpr double kSilence = 20;           // an unanswered look stands for this multiple of the time it is out
 constexpr double kAtOnce = 2;             // parts that a replica is taken to work on at once
+constexpr double kOverbook = 4;           // of so many gatherers one wants its turn at a cold replica
 constexpr double kMissGain = 0.1;         // weight of the newest multiget in the share that misses its budget
 // clang-format on
 
@@ -305,7 +306,7 @@
       hear_load(*r, report, elapsed);
     } else {
       believe(r->belief, 0, 2, kBeliefMemory);
-      missed += kMissGain / 4 * (1 - missed);
+      missed += kMissGain / 10 * (1 - missed);
     }
   }
 
@@ -326,7 +327,7 @@
   // does harm where op types are rare and a chance failure keeps a sound replica out for long.
   void believe(Replica& r, int op_type, double good, double bad) {
     believe(r.belief, good, bad, kBeliefMemory);
-    if (bad >= 1) missed += kMissGain / 4 * (1 - missed);
+    if (bad >= 1) missed += kMissGain / 10 * (1 - missed);
     believe(r.by_type[static_cast<std::size_t>(op_type)], good, bad, kTypeMemory);
   }
 
@@ -558,7 +559,7 @@
     if (!mg.looked_at) {
       mg.looked_at = now;
       double worth = 0;
-      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) worth += missed / 2 / look_price;
+      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) worth += missed / 4 / look_price;
       for (int k = 0; k < most_sends; ++k) {
         for (int p = mg.first_part; p >= 0 && worth >= 1; p = parts.at(p).next) {
           holders(parts.at(p));
@@ -732,7 +733,7 @@
     // it.
     if (now - r.turn_at > window) {
       r.turn_at = now;
-      r.turn = std::uniform_real_distribution<double>(0, 1)(chance) * cost < room;
+      r.turn = std::uniform_real_distribution<double>(0, 1)(chance) * cost < kOverbook * room;
     }
     return r.turn;
   }
