--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -878,17 +878,7 @@
         const SendRecord& last = part.sends[static_cast<std::size_t>(part.sent - 1)];
         if (!last.out || micros(now - last.at) < kOverdue * last.expect) continue;
         if (!may_repeat(part, mg)) continue;
-        if (part.out() > 1) {
-          // Both are overdue: the older one makes room for a third.
-          for (int i = 0; i < part.sent - 1; ++i) {
-            SendRecord& s = part.send(i);
-            if (s.out && !s.withdrawn && contract.flag("limits.cancel", false)) {
-              s.withdrawn = true;
-              withdrawals.push_back({part.id, i});
-            }
-          }
-          continue;
-        }
+        if (part.out() > 1) continue;
         const int to = pick(part);
         if (to < 0) continue;
         const Replica& r = rep(to);
