Jam acts from a lower wait, but half as much where reports show little held

Cause: answers held up by links are late as in a jam. Evidence used: what servers report to hold while looks go out.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -53,6 +53,7 @@
 constexpr double kOwnFurtherFree = 10;    // and in addition
 constexpr double kFill = 0.5;             // share of the latency budget to fill while the fleet is jammed
 constexpr double kFillCalm = 1.3;         // and while it is calm: then odd replicas make expectations long
+constexpr double kHeldGain = 0.05;
 constexpr double kWaitGain = 0.02;        // weight of the newest answer in the fleet's wait
 constexpr double kCalmWait = 2;           // calm while answers take up to this multiple of their own work
 constexpr double kJammedWait = 4;         // and jammed from this
@@ -293,6 +294,7 @@
     settle(r);
     double held = 0;
     for (std::size_t i = 0; i < unit.size(); ++i) held += unit[i] * report.value[i];
+    if (report.count > 0) fleet_held += kHeldGain * (held - fleet_held);
     r.foreign = std::max(held * mean_charge - r.out, kAtOnce * micros(waited));
     fleet_foreign += kWaitGain * (r.foreign - fleet_foreign);
     r.news_at = now;
@@ -302,6 +304,7 @@
     Replica* r = replica_of(server);
     if (r == nullptr) return;
     r->asked.reset();
+    looked_at = now;
     if (fate == Fate::returned) {
       hear_load(*r, report, elapsed);
     } else {
@@ -535,7 +538,7 @@
         if (looking(mg)) continue;
         mg.expected = expected_time(mg);
         // Lost sends stretch multigets as a jam does, but pushing back helps against a jam only.
-        const double need_us = mg.expected * std::pow(op.stretch, jam());
+        const double need_us = mg.expected * std::pow(op.stretch, std::min(1.0, 4 * jam()));
         if (need_us > allowed_time(mg, op)) {
           note = "pushing back: more is asked for than can be finished in time";
           const double wait = std::isfinite(need_us) ? std::max(need_us / 2, 100'000.0) : 500'000.0;
@@ -610,7 +613,12 @@
 
   // From 0 while the fleet answers about as quickly as it has, to 1 when it is jammed. Pace is seen by
   // answers, so pushing back does not keep it high, as a share of push-backs would.
-  double jam() const { return std::clamp((fleet_wait - kCalmWait) / (kJammedWait - kCalmWait), 0.0, 1.0); }
+  // Answers held up by links, or by a gatherer's own stalls, are late as in a jam; where looks go out, what
+  // servers report to hold tells them apart: half the wait counts only as far as much is held.
+  double jam() const {
+    const double told = missed > 0.05 && looked_at > now - 5s ? std::clamp(fleet_held - 0.5, 0.0, 1.0) : 1;
+    return std::clamp((fleet_wait * (0.5 + 0.5 * told) - kCalmWait) / (kJammedWait - kCalmWait), 0.0, 1.0);
+  }
 
   double allowed_time(const Multiget& mg, const OpType& op) {
     double cost = call_cost;
@@ -621,7 +629,8 @@
     mean_density += 0.02 * (density - mean_density);
     // What is worth something when late as well may be tried at worse odds.
     const double odds = (kFillCalm + (kFill - kFillCalm) * jam()) * (1 + 2 * op.late_share);
-    const double fill = std::clamp(odds * std::pow(density / mean_density, jam() / 2), 0.25, 2.0);
+    const double fill =
+        std::clamp(odds * std::pow(density / mean_density, std::min(1.0, 4 * jam()) / 2), 0.25, 2.0);
     return fill * micros(std::min(op.latency_budget, mg.last_moment - mg.taken));
   }
 
@@ -1005,6 +1014,8 @@
   double missed = 0.05;  // share of own multigets not answered within the latency budget
   double mean_charge = 100'000;
   double fleet_foreign = 0;
+  double fleet_held = 1;
+  Span looked_at{-1h};
   double warm_flow = 0;  // own cost sent to warm replicas, faded
   Span flow_at{};
   int up = 0;
