--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -8,10 +8,10 @@
 // Mechanisms beside the design (at most six):
 //   1. belief     a posterior of success for each replica; whether a doubtful one gets work is drawn from it
 //   2. pace       how slowly each replica answers for its load, and how long it has been silent
-//   3. copies     further sends: tries after failures, second copies of parts that are overdue, within a
-//   budget
+//   3. copies     further sends: tries after failures, second copies of overdue parts, within a budget
 //   4. warm-up    what a cold replica may be sent: this gatherer's fair share of a budget over the window
 //   5. admission  pushing back at once what cannot be finished in time, least important first
+//   6. looks      asking replicas for their load before parts are placed, as far as that pays
 #include "choice.h"
 
 #include <algorithm>
@@ -53,11 +53,10 @@
 constexpr double kOwnFurtherFree = 10;    // and in addition
 constexpr double kFill = 0.5;             // share of the latency budget to fill while the fleet is jammed
 constexpr double kFillCalm = 1.3;         // and while it is calm: then odd replicas make expectations long
-constexpr double kHeldGain = 0.05;
 constexpr double kWaitGain = 0.02;        // weight of the newest answer in the fleet's wait
 constexpr double kCalmWait = 2;           // calm while answers take up to this multiple of their own work
 constexpr double kJammedWait = 4;         // and jammed from this
-constexpr double kStretchGain = 0.05;     // weight of the newest multiget in its op type's stretch
+constexpr double kStretchGain = 0.05;     // weight of the newest multiget in stretch, of a report in what is held
 constexpr Span kNews = 1s;                // a reported load drifts back to the fleet's over this
 constexpr Span kStale = 500ms;            // a replica with news older than this is asked before it is sent to
 constexpr Span kLook = 40ms;              // how long a multiget waits for that
@@ -106,10 +105,9 @@
                std::max(contract.at_least("prices.waste", 0, 0), 0.05);
     peers = contract.at_least("replicas-of-me", 1, 1);
     for (int i = 0; contract.has("customers." + std::to_string(i) + ".name"); ++i) {
-      Customer c;
-      c.allowance = contract.at_least("customers." + std::to_string(i) + ".allowance-per-s", 0, 0) / peers;
-      c.tokens = c.allowance;
-      customers.push_back(c);
+      const std::string name = "customers." + std::to_string(i) + ".allowance-per-s";
+      const double allowance = contract.at_least(name, 0, 0) / peers;
+      customers.push_back({allowance, allowance, {}});
     }
     probing = contract.flag("limits.probing", false);
     look_price = contract.at_least("prices.probe", 0, 0) + contract.at_least("prices.handshake", 0, 0) + 1e-4;
@@ -123,8 +121,7 @@
     further.set(contract.time("contract.resend-span", 10s));
     by_cell.resize(static_cast<std::size_t>(cells));
     const auto room = static_cast<std::size_t>(contract.number("limits.max-open", 1000));
-    hand.reserve(room);
-    pending.reserve(room * 2);
+    for (auto* list : {&hand, &pending, &released, &looks, &touched}) list->reserve(room * 2);
     plan.reserve(room * 2);
     withdrawals.reserve(room * 2);
   }
@@ -176,7 +173,6 @@
   }
 
   void list_opens(bool whole, bool remembered) {
-    list_whole = whole;
     list_remembered = remembered;
     for (Replica& r : replicas) r.named = !whole;
   }
@@ -188,13 +184,10 @@
       r = &replicas.emplace_back();
       r->server = row.server;
       r->hash = hash_text(row.server);
-      r->pace = fleet_pace;
       r->decayed_at = now;
       forget(*r);
     } else if (row.started != r->started && row.started) {
-      // A new start: what was learned is about a process that is gone.
-      r->pace = fleet_pace;
-      forget(*r);
+      forget(*r);  // a new start: what was learned is about a process that is gone
     }
     r->zone = row.zone;
     r->cell = std::clamp(row.cell, 0, cells - 1);
@@ -294,7 +287,7 @@
     settle(r);
     double held = 0;
     for (std::size_t i = 0; i < unit.size(); ++i) held += unit[i] * report.value[i];
-    if (report.count > 0) fleet_held += kHeldGain * (held - fleet_held);
+    if (report.count > 0) fleet_held += kStretchGain * (held - fleet_held);
     r.foreign = std::max(held * mean_charge - r.out, kAtOnce * micros(waited));
     fleet_foreign += kWaitGain * (r.foreign - fleet_foreign);
     r.news_at = now;
@@ -314,6 +307,7 @@
   }
 
   void forget(Replica& r) {
+    r.pace = fleet_pace;
     r.belief = Belief{kPrior, 0, now, 1, {}};
     r.by_type.assign(op_types.size(), r.belief);
   }
@@ -416,9 +410,7 @@
 
   void client_left(const Rid& id) {
     const int place = multigets.find(id);
-    if (place < 0 || multigets.at(place).closed) return;
-    close(place, false);
-    release_if_done(place);
+    if (place >= 0 && !multigets.at(place).closed) close(place, false);
   }
 
   // ---- ends ----
@@ -445,6 +437,11 @@
       const double ratio = micros(now - mg.taken) / mg.expected;
       stretch = std::clamp(stretch * std::pow(std::clamp(ratio / stretch, 0.2, 5.0), kStretchGain), 0.2, 5.0);
     }
+    abandon(mg);
+    release_if_done(place);
+  }
+
+  void abandon(const Multiget& mg) {
     for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
       parts.at(p).pending = false;
       withdraw_all(p);
@@ -453,9 +450,7 @@
 
   // A place is given back once nothing of it is out, and not while verdicts are being looked for.
   void release_if_done(int place) {
-    Multiget& mg = multigets.at(place);
-    if (!mg.closed || mg.sends_out > 0) return;
-    released.push_back(place);
+    if (multigets.at(place).closed && multigets.at(place).sends_out == 0) released.push_back(place);
   }
 
   void sweep() {
@@ -497,15 +492,9 @@
       mg.step = 2;
       mg.weight_in = mg.weight_lost = 0;
       mg.awaited = std::min(op.second_step, mg.returned_parts);
-      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
-        if (!parts.at(p).returned) {
-          parts.at(p).pending = false;
-          withdraw_all(p);
-        }
-      }
+      abandon(mg);
     } else {
       close(place, ending == Ending::answer);
-      release_if_done(place);
     }
     return verdict;
   }
@@ -529,8 +518,7 @@
       const bool hopeless =
           possible < std::min(need, op.floor) || (possible < need && floor_in && mg.sends_out == 0);
       if (now >= mg.last_moment || hopeless || (late && op.partial > whole_later && floor_in)) {
-        if (floor_in) return finish(place, Ending::answer, false, Span::zero());
-        return finish(place, Ending::push_back, false, Span::zero());
+        return finish(place, floor_in ? Ending::answer : Ending::push_back, false, Span::zero());
       }
       if (late && (op.late_share <= 0.0 || fleet_pace > 3))
         return finish(place, Ending::push_back, false, 0s);
@@ -588,9 +576,9 @@
 
   std::optional<std::string_view> next_probe() {
     if (looks.empty()) return std::nullopt;
-    const int i = looks.back();
+    const std::string_view server = rep(looks.back()).server;
     looks.pop_back();
-    return rep(i).server;
+    return server;
   }
 
   // ---- admission ----
@@ -678,8 +666,7 @@
         mix(static_cast<std::uint64_t>(part.shard) * 0x9e3779b97f4a7c15ULL ^ mix(part.key));
     for (int j = 0; j < std::min(width, cells); ++j) {
       for (const int i : by_cell[static_cast<std::size_t>((part.shard + j) % cells)]) {
-        const Replica& r = rep(i);
-        if (r.standing == Standing::up) candidates.push_back({i, mix(r.hash ^ shard), 0, 1});
+        if (rep(i).standing == Standing::up) candidates.push_back({i, mix(rep(i).hash ^ shard), 0, 1});
       }
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
@@ -729,9 +716,7 @@
     if (warm >= 1) return true;
     const Span window = contract.time("contract.overload-for", 1s);
     double sent = 0;
-    for (const auto& [at, work] : r.cold_sends) {
-      if (work > 0 && now - at <= window) sent += work;
-    }
+    for (const auto& [at, work] : r.cold_sends) sent += work > 0 && now - at <= window ? work : 0;
     // What others of its size carry for this gatherer, or its share of the one core that every replica has.
     const double flow = warm_flow * fade(now - flow_at, kFlowMemory) / seconds(kFlowMemory);
     const double carried = std::max(flow / std::max(static_cast<double>(up), 1.0), 1e6 / peers);
@@ -779,11 +764,8 @@
       }
       return false;
     };
-    if (part.out() > 0) {
-      std::erase_if(candidates, tried);
-    } else if (!std::all_of(candidates.begin(), candidates.end(), tried)) {
+    if (part.out() > 0 || !std::all_of(candidates.begin(), candidates.end(), tried))
       std::erase_if(candidates, tried);
-    }
     if (candidates.empty()) return -1;
     double best = 0;
     for (Candidate& c : candidates) {
@@ -886,12 +868,9 @@
         if (part.returned || part.pending || part.step != mg.step || part.sent == 0) continue;
         const SendRecord& last = part.sends[static_cast<std::size_t>(part.sent - 1)];
         if (!last.out || micros(now - last.at) < kOverdue * last.expect) continue;
-        if (!may_repeat(part, mg)) continue;
-        if (part.out() > 1) continue;
+        if (part.out() > 1 || !may_repeat(part, mg)) continue;
         const int to = pick(part);
-        if (to < 0) continue;
-        const Replica& r = rep(to);
-        if (estimate(r, part.cost + call_cost) > 2 * micros(now - last.at)) continue;
+        if (to < 0 || estimate(rep(to), part.cost + call_cost) > 2 * micros(now - last.at)) continue;
         commit(p, to);
       }
     }
@@ -910,13 +889,12 @@
     });
     std::size_t kept = 0;
     for (const int p : pending) {
-      const int to = pick(parts.at(p));
-      if (to < 0) {
+      if (const int to = pick(parts.at(p)); to >= 0) {
+        parts.at(p).pending = false;
+        commit(p, to);
+      } else {
         pending[kept++] = p;
-        continue;
       }
-      parts.at(p).pending = false;
-      commit(p, to);
     }
     pending.resize(kept);
     want_copies();
@@ -957,11 +935,8 @@
   }
 
   std::optional<std::string> next_note() {
-    if (!note || now - noted_at < 5s) {
-      note.reset();
-      return std::nullopt;
-    }
-    noted_at = now;
+    if (now - noted_at < 5s) note.reset();
+    if (note) noted_at = now;
     return std::exchange(note, std::nullopt);
   }
 
@@ -977,21 +952,16 @@
   std::vector<OpType> op_types;
   std::vector<Customer> customers;
   double call_cost = 0;
-  int call_room = 1;
-  int cells = 1;
-  int width = 1;
-  int shards = 1;
-  int most_sends = 1;
+  int call_room = 1, cells = 1, width = 1, shards = 1, most_sends = 1, zone = 0;
   double peers = 1;
-  int zone = 0;
   double crossing = 0;  // load that crossing zones adds, by the part's cost
   WindowCount taken;    // multigets and parts
   WindowCount further;  // sends beyond each part's first
   Slab<Multiget> multigets;
   Slab<Part> parts;
   std::vector<int> hand;  // multigets in the order of their arrival
-  std::vector<int> released;
-  std::vector<int> pending;
+  std::vector<int> released, pending, looks;
+  std::vector<int> touched;  // replicas whose state of this turn is to be cleared
   std::vector<Send> plan;
   std::vector<Withdrawal> withdrawals;
   std::vector<Candidate> candidates;
@@ -1000,37 +970,21 @@
   std::vector<std::vector<int>> by_cell;
   std::vector<double> had;  // recent parts by shard and replica
   double had_unit = 1;
-  Span had_at{};
-  Span now{};
-  std::size_t verdict_cursor = 0;
-  std::size_t plan_cursor = 0;
-  bool planned = false;
+  Span now{}, had_at{}, flow_at{}, looked_at{-1h}, ask_from{}, noted_at{-1h};
+  std::size_t verdict_cursor = 0, plan_cursor = 0;
+  bool planned = false, probing = false;
   std::uint64_t next_order = 0;
   double fleet_pace = 1;
   double fleet_wait = 1;  // time that answers lately took for their own work
-  double mean_density = 0;
-  bool probing = false;
-  double look_price = 0;
-  double missed = 0.05;  // share of own multigets not answered within the latency budget
-  double mean_charge = 100'000;
-  double fleet_foreign = 0;
-  double fleet_held = 1;
-  Span looked_at{-1h};
-  double warm_flow = 0;  // own cost sent to warm replicas, faded
-  Span flow_at{};
-  int up = 0;
-  std::array<double, 4> unit{};  // parts in hand that one of each reported value stands for
-  std::vector<int> looks;
-  std::vector<int> touched;  // replicas whose state of this turn is to be cleared
-  bool list_whole = false;
-  bool list_remembered = false;
-  bool watching = false;
-  std::optional<Span> asked_at;
-  Span ask_from{};
-  int refusals = 0;
-  std::optional<Span> wake_set;
+  double mean_density = 0, mean_charge = 100'000, look_price = 0;
+  double missed = 0.05;                      // share of own multigets not answered within the latency budget
+  double fleet_foreign = 0, fleet_held = 1;  // others' work, and parts held, at a replica
+  double warm_flow = 0;                      // own cost sent to warm replicas, faded
+  std::array<double, 4> unit{};              // parts in hand that one of each reported value stands for
+  bool list_remembered = false, watching = false;
+  std::optional<Span> asked_at, wake_set;
+  int refusals = 0, up = 0;
   std::optional<std::string> note;
-  Span noted_at{-1h};
 };
 
 Choice::Choice(const Terms& terms, std::uint32_t seed) : mind_(std::make_unique<Mind>(terms, seed)) {}
