--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -56,7 +56,7 @@
 constexpr double kWaitGain = 0.02;        // weight of the newest answer in the fleet's wait
 constexpr double kCalmWait = 2;           // calm while answers take up to this multiple of their own work
 constexpr double kJammedWait = 4;         // and jammed from this
-constexpr double kStretchGain = 0.05;     // weight of the newest multiget in stretch, of a report in what is held
+constexpr double kStretchGain = 0.05;     // weight of the newest multiget in stretch, of a report in fleet_held
 constexpr Span kNews = 1s;                // a reported load drifts back to the fleet's over this
 constexpr Span kStale = 500ms;            // a replica with news older than this is asked before it is sent to
 constexpr Span kLook = 40ms;              // how long a multiget waits for that
@@ -191,7 +191,6 @@
     }
     r->zone = row.zone;
     r->cell = std::clamp(row.cell, 0, cells - 1);
-    r->size = row.size > 0 ? row.size : 1;
     r->standing = row.standing;
     r->started = row.started;
     r->named = true;
@@ -202,9 +201,7 @@
       if (!r.named) r.standing = Standing::gone;  // absent from a whole list
     }
     for (auto& cell : by_cell) cell.clear();
-    up = 0;
     for (std::size_t i = 0; i < replicas.size(); ++i) {
-      up += replicas[i].standing == Standing::up ? 1 : 0;
       by_cell[static_cast<std::size_t>(replicas[i].cell)].push_back(static_cast<int>(i));
     }
     had.resize(replicas.size() * static_cast<std::size_t>(shards), 0.0);
@@ -415,10 +412,10 @@
 
   // ---- ends ----
 
-  void withdraw_all(int place) {
+  void withdraw_all(int place, int before = static_cast<int>(kMostSends)) {
     if (!contract.flag("limits.cancel", false)) return;
     Part& part = parts.at(place);
-    for (int i = 0; i < part.sent; ++i) {
+    for (int i = 0; i < std::min(part.sent, before); ++i) {
       SendRecord& s = part.send(i);
       if (s.out && !s.withdrawn) {
         s.withdrawn = true;
@@ -512,16 +509,14 @@
       }
       const bool late = now >= mg.taken + op.latency_budget;
       const bool floor_in = op.floor < op.need && mg.awaited == 0 && mg.weight_in >= op.floor - kRounding;
-      const double whole_later = late ? 0 : op.late_share;
       // What can no longer come ends the multiget at once, unless the rest may still make an answer.
       const double possible = 1 - mg.weight_lost + kRounding;
       const bool hopeless =
           possible < std::min(need, op.floor) || (possible < need && floor_in && mg.sends_out == 0);
-      if (now >= mg.last_moment || hopeless || (late && op.partial > whole_later && floor_in)) {
+      if (now >= mg.last_moment || hopeless || (late && op.partial > 0 && floor_in)) {
         return finish(place, floor_in ? Ending::answer : Ending::push_back, false, Span::zero());
       }
-      if (late && (op.late_share <= 0.0 || fleet_pace > 3))
-        return finish(place, Ending::push_back, false, 0s);
+      if (late && (op.late_share <= 0 || fleet_pace > 3)) return finish(place, Ending::push_back, false, 0s);
       if (!mg.admitted && mg.awaited == 0) {
         if (looking(mg)) continue;
         mg.expected = expected_time(mg);
@@ -611,10 +606,8 @@
   double allowed_time(const Multiget& mg, const OpType& op) {
     double cost = call_cost;
     for (int p = mg.first_part; p >= 0; p = parts.at(p).next) cost += parts.at(p).cost;
-    const bool by_work = contract.word("value-by", "request") == "work";
-    const double density = by_work ? mg.importance : mg.importance / cost;
-    if (mean_density <= 0) mean_density = density;
-    mean_density += 0.02 * (density - mean_density);
+    const double density = mg.importance / (contract.word("value-by", "request") == "work" ? 1 : cost);
+    mean_density = mean_density > 0 ? mean_density + 0.02 * (density - mean_density) : density;
     // What is worth something when late as well may be tried at worse odds.
     const double odds = (kFillCalm + (kFill - kFillCalm) * jam()) * (1 + 2 * op.late_share);
     const double fill =
@@ -719,7 +712,10 @@
     for (const auto& [at, work] : r.cold_sends) sent += work > 0 && now - at <= window ? work : 0;
     // What others of its size carry for this gatherer, or its share of the one core that every replica has.
     const double flow = warm_flow * fade(now - flow_at, kFlowMemory) / seconds(kFlowMemory);
-    const double carried = std::max(flow / std::max(static_cast<double>(up), 1.0), 1e6 / peers);
+    const auto warm_ones = std::count_if(replicas.begin(), replicas.end(), [&](const Replica& other) {
+      return other.standing == Standing::up && warmth(other) >= 1;
+    });
+    const double carried = std::max(flow / std::max(static_cast<double>(warm_ones), 1.0), 1e6 / peers);
     const double multiple = contract.at_least("contract.fall-multiple", 1, 0);
     const double room = multiple * warm * carried * seconds(window);
     if (sent > 0 || cost <= room) return sent + cost <= room;
@@ -868,7 +864,11 @@
         if (part.returned || part.pending || part.step != mg.step || part.sent == 0) continue;
         const SendRecord& last = part.sends[static_cast<std::size_t>(part.sent - 1)];
         if (!last.out || micros(now - last.at) < kOverdue * last.expect) continue;
-        if (part.out() > 1 || !may_repeat(part, mg)) continue;
+        if (!may_repeat(part, mg)) continue;
+        if (part.out() > 1) {
+          withdraw_all(p, part.sent - 1);  // both are overdue: the older one makes room for a third
+          continue;
+        }
         const int to = pick(part);
         if (to < 0 || estimate(rep(to), part.cost + call_cost) > 2 * micros(now - last.at)) continue;
         commit(p, to);
@@ -983,7 +983,7 @@
   std::array<double, 4> unit{};              // parts in hand that one of each reported value stands for
   bool list_remembered = false, watching = false;
   std::optional<Span> asked_at, wake_set;
-  int refusals = 0, up = 0;
+  int refusals = 0;
   std::optional<std::string> note;
 };
 
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -112,7 +112,6 @@
   std::uint64_t hash = 0;
   int zone = 0;
   int cell = 0;
-  double size = 1;
   Standing standing = Standing::gone;
   bool named = false;  // in the list being read
   std::optional<Span> started;
