--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -521,7 +521,7 @@
         if (looking(mg)) continue;
         mg.expected = expected_time(mg);
         // Lost sends stretch multigets as a jam does, but pushing back helps against a jam only.
-        const double need_us = mg.expected * std::pow(op.stretch, std::min(1.0, 4 * jam()));
+        const double need_us = mg.expected * (jam() > 0 ? op.stretch : 1);
         if (need_us > allowed_time(mg, op)) {
           note = "pushing back: more is asked for than can be finished in time";
           const double wait = std::isfinite(need_us) ? std::max(need_us / 2, 100'000.0) : 500'000.0;
@@ -610,8 +610,7 @@
     mean_density = mean_density > 0 ? mean_density + 0.02 * (density - mean_density) : density;
     // What is worth something when late as well may be tried at worse odds.
     const double odds = (kFillCalm + (kFill - kFillCalm) * jam()) * (1 + 2 * op.late_share);
-    const double fill =
-        std::clamp(odds * std::pow(density / mean_density, std::min(1.0, 4 * jam()) / 2), 0.25, 2.0);
+    const double fill = std::clamp(odds * std::pow(density / mean_density, jam() > 0 ? 0.5 : 0.0), 0.25, 2.0);
     return fill * micros(std::min(op.latency_budget, mg.last_moment - mg.taken));
   }
 
