--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -86,6 +86,11 @@
     choice_.send_ended(rid(part), send, fate, elapsed, {});
   }
 
+  // A probe's end; held is what the report says the server holds.
+  void asked(const std::string& server, Fate fate, double held = 0, Span elapsed = 2ms) {
+    choice_.probe_ended(server, fate, elapsed, {{held, 0, 0, 0}, 1});
+  }
+
   // Prints each decision as it is pulled; gives the server of the last send.
   std::string decide() {
     std::string to;
@@ -102,6 +107,7 @@
       to = s->server;
       tell("send " + plain(s->part) + " to " + to);
     }
+    while (const auto server = choice_.next_probe()) tell("ask " + std::string(*server));
     while (const auto c = choice_.next_list_call())
       tell(*c == ListCall::watch ? "watch the list" : "fetch the list");
     while (choice_.next_note()) {
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -316,6 +316,67 @@
   g.until(31s);
 }
 
+// Before parts are placed their replicas are asked: a loaded one and a silent one are passed over. Where a
+// probe's price outweighs what is missed, nothing is asked.
+void looks() {
+  Terms terms = ordinary_terms();
+  terms["limits.probing"] = true;
+  terms["telemetry.fields.0"] = std::string("active");
+  Gatherer g(terms);
+  g.list("ABC");
+  g.take("m", "a");
+  g.decide();
+  g.at(5ms);
+  g.asked("A", Fate::returned, 0);
+  g.asked("B", Fate::returned, 9);
+  g.decide();
+  g.until(60ms);
+  terms["prices.probe"] = 5.0;
+  Gatherer dear(terms);
+  dear.say("-- dear");
+  dear.list("ABC");
+  dear.take("m", "a");
+  dear.decide();
+}
+
+// Many parts that fail at once all go again at once: no budget is stated, and tries add no work.
+void quick_failures() {
+  Gatherer g(ordinary_terms());
+  g.quiet = true;
+  g.list("ABC");
+  std::string parts;
+  for (int i = 0; i < 26; ++i) parts += static_cast<char>('a' + i);
+  g.take("m", parts, 20);
+  g.decide();
+  g.at(5ms);
+  for (const char part : parts) g.ended(std::string("m") + part, Fate::dropped, 0, 5ms);
+  g.quiet = false;
+  g.decide();
+}
+
+// With a fair share far below one send a window, few of many gatherers send to a cold replica at all.
+void cold_turns() {
+  Terms terms = ordinary_terms();
+  terms["replicas-of-me"] = 100.0;
+  int sent = 0;
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    Choice choice(terms, seed);
+    choice.clock(0ms);
+    choice.list_opens(false, false);
+    ListRow row;
+    row.server = "A";
+    row.started = 0ms;
+    choice.list_row(row);
+    choice.list_closes();
+    choice.multiget_taken({rid("m"), 1, 0, 0, 1, 4s});
+    choice.part_taken({rid("ma"), 1, 0, 1.0, 0, 100ms});
+    while (choice.next_verdict()) {
+    }
+    while (choice.next_send()) sent += 1;
+  }
+  std::printf("sends by 100 gatherers in a window: %d\n", sent);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -336,5 +397,8 @@
   if (which == "cold_is_no_jam") cold_is_no_jam();
   if (which == "rule_budget") rule_budget();
   if (which == "list_asked") list_asked();
+  if (which == "looks") looks();
+  if (which == "quick_failures") quick_failures();
+  if (which == "cold_turns") cold_turns();
   return 0;
 }
