--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -107,7 +107,7 @@
       to = s->server;
       tell("send " + plain(s->part) + " to " + to);
     }
-    while (const auto server = choice_.next_probe()) tell("ask " + std::string(*server));
+    while (const auto server = choice_.next_probe()) tell(std::string("ask ").append(*server));
     while (const auto c = choice_.next_list_call())
       tell(*c == ListCall::watch ? "watch the list" : "fetch the list");
     while (choice_.next_note()) {
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -349,7 +349,7 @@
   g.take("m", parts, 20);
   g.decide();
   g.at(5ms);
-  for (const char part : parts) g.ended(std::string("m") + part, Fate::dropped, 0, 5ms);
+  for (const char part : parts) g.ended({'m', part}, Fate::dropped, 0, 5ms);
   g.quiet = false;
   g.decide();
 }
@@ -364,7 +364,7 @@
     choice.clock(0ms);
     choice.list_opens(false, false);
     ListRow row;
-    row.server = "A";
+    row.server = std::string(1, 'A');
     row.started = 0ms;
     choice.list_row(row);
     choice.list_closes();
