--- /dev/null
+++ b/src/config/commission.h
@@ -0,0 +1,57 @@
+// All that a gatherer is told at its start, read, checked and given defaults in this one place. A complaint names
+// the key at fault.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "config/fields.h"
+#include "model/plain.h"
+#include "net/log.h"
+
+namespace marbledyke::config {
+
+// An op type as far as the program itself needs it; what it is worth is the module's matter.
+struct OpName {
+  std::string name;
+  int second_step = 0;  // parts that a first answer is followed by
+};
+
+// What carrying parts and answers takes: figures of the operators' terms, none of our own.
+struct Carriage {
+  std::vector<OpName> op_types;
+  std::vector<std::string> customers;
+  std::vector<std::string> zones;
+  std::vector<std::string> report_fields;  // the values of a load report, in the module's order
+  int shards = 1;
+  int cells = 1;
+  int parts_a_call = 1;
+  int parts_a_connection = 1;
+  int most_in_hand = 1;  // multigets and parts
+  Span connect_timeout{};
+  Span idle{};
+  Span ask_every{};  // how long the list may go unasked
+};
+
+struct Commission {
+  std::string name;
+  sockaddr_in listen{};
+  sockaddr_in discovery{};
+  std::string discovery_host;
+  std::uint32_t seed = 0;
+  int sockets = 0;
+  net::Level log_level = net::Level::info;
+  json known;  // the list as last held, in discovery's form; null: none
+  Terms terms;
+  Carriage carriage;
+};
+
+// From the text of the configuration; throws BadInput.
+Commission read_commission(const std::string& text);
+// From the file that the environment names.
+Commission read_commission_file();
+
+}  // namespace marbledyke::config
--- /dev/null
+++ b/src/gatherer/gatherer.cpp
@@ -0,0 +1,319 @@
+#include "gatherer/gatherer.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <map>
+#include <utility>
+
+#include "net/log.h"
+
+namespace marbledyke::gatherer {
+namespace {
+
+using namespace std::chrono_literals;
+
+// New connections keep coming for up to 0.4 s after a planned stop begins, by the protocol.
+constexpr Span kStillComing = 400ms;
+// What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice.
+constexpr int kOwnDescriptors = 8;
+
+Span unix_now() {
+  return std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+// The descriptors left for clients: each listed server may need a connection and its successor.
+std::size_t client_room(const config::Commission& commission) {
+  const std::size_t listed =
+      commission.known.is_object() && commission.known.contains("endpoints") ? commission.known["endpoints"].size() : 0;
+  const int left = commission.sockets - kOwnDescriptors - 2 * static_cast<int>(listed);
+  return static_cast<std::size_t>(std::max(left, commission.sockets / 2));
+}
+
+}  // namespace
+
+Gatherer::Gatherer(const config::Commission& commission)
+    : commission_(commission),
+      unix_start_((loop_.read_clock(), unix_now() - loop_.now())),
+      choice_(commission.terms, commission.seed),
+      servers_(loop_, commission.carriage, [this] { return clients_.make_room(); }),
+      clients_(loop_, commission.carriage, commission.listen, client_room(commission)),
+      watch_(loop_, commission, unix_start_,
+             {[this](list::News news) { news_.push_back(std::move(news)); }, [this] { ++refusals_; }}),
+      hand_(static_cast<std::size_t>(commission.carriage.most_in_hand)) {
+  choice_.clock(loop_.now());
+  if (!commission.known.is_object()) return;
+  list::News known = list::read_news(commission.known, commission.carriage, unix_start_);
+  choice_.list_opens(true, true);
+  for (const list::Entry& entry : known.entries) {
+    servers_.listed(entry);
+    choice_.list_row(entry.row);
+  }
+  choice_.list_closes();
+  watch_.held(known.index);
+  MD_LOG(info, "starts with " << known.entries.size() << " servers remembered, version " << known.index);
+}
+
+bool Gatherer::turn() {
+  const bool news = woken_ || !servers_.ended.empty() || !servers_.probed.empty() || !clients_.asked.empty() ||
+                    !clients_.left.empty() || !news_.empty() || refusals_ > 0 || !second_steps_.empty();
+  loop_.gather(!news);
+  hand_over();
+  carry_out();
+  clients_.bury();
+  if (leaving_ && !accepting_) {
+    clients_.close_idle();
+    return !(open_ == 0 && clients_.empty());
+  }
+  return true;
+}
+
+void Gatherer::leave() {
+  if (leaving_) return;
+  leaving_ = true;
+  clients_.leave();
+  MD_LOG(info, "stopping: " << open_ << " multigets in hand, " << clients_.size() << " client connections");
+  loop_.at(loop_.now() + kStillComing, [this] {
+    accepting_ = false;
+    clients_.stop_accepting();
+  });
+}
+
+// ---- hand over ----
+
+void Gatherer::hand_over() {
+  woken_ = false;
+  choice_.clock(loop_.now());
+  for (list::News& news : std::exchange(news_, {})) list_came(std::move(news));
+  for (; refusals_ > 0; --refusals_) choice_.list_refused();
+  for (servers::Ended& ended : std::exchange(servers_.ended, {})) sent_back(ended);
+  for (const servers::Probed& probed : std::exchange(servers_.probed, {}))
+    choice_.probe_ended(probed.server, probed.fate, probed.elapsed, probed.report);
+  for (const Rid& id : std::exchange(second_steps_, {})) {
+    const int place = hand_.find(id);
+    if (place >= 0 && !hand_.at(place).over) hand_parts(hand_.at(place));
+  }
+  for (clients::Asked& asked : std::exchange(clients_.asked, {})) take(asked);
+  for (const std::uint64_t caller : std::exchange(clients_.left, {})) {
+    const auto at = by_caller_.find(caller);
+    if (at == by_caller_.end()) continue;
+    const Rid id = at->second;
+    by_caller_.erase(at);
+    InHand& mg = hand_.at(hand_.find(id));
+    mg.caller = 0;
+    mg.over = true;
+    --open_;
+    done_.left += 1;
+    choice_.client_left(id);
+    give_back(mg);
+  }
+}
+
+void Gatherer::list_came(list::News&& news) {
+  choice_.list_opens(news.whole, false);
+  for (const list::Entry& entry : news.entries) {
+    servers_.listed(entry);
+    choice_.list_row(entry.row);
+    MD_LOG(debug, "list: " << entry.row.server << (entry.row.standing == Standing::up         ? " is up"
+                                                   : entry.row.standing == Standing::draining ? " drains"
+                                                                                              : " is gone"));
+  }
+  choice_.list_closes();
+  if (!news.entries.empty())
+    MD_LOG(info, "list: version " << news.index << ", " << news.entries.size()
+                                  << (news.whole ? " servers" : " changes"));
+}
+
+// The module's ids: eight digits of the multiget's number, four zeros, and four of the part's place, 0 for the
+// multiget itself.
+Rid Gatherer::part_id(const Rid& multiget, std::size_t piece) const {
+  Rid out = multiget;
+  char digits[5];
+  std::snprintf(digits, sizeof digits, "%04zx", (piece + 1) & 0xffff);
+  std::copy_n(digits, 4, out.text.begin() + 12);
+  return out;
+}
+
+Gatherer::InHand* Gatherer::hand_of(const Rid& part, std::size_t* piece) {
+  Rid id = part;
+  std::fill_n(id.text.begin() + 12, 4, '0');
+  const int place = hand_.find(id);
+  if (place < 0) return nullptr;
+  if (piece != nullptr) {
+    std::size_t number = 0;
+    std::from_chars(part.text.data() + 12, part.text.data() + 16, number, 16);
+    *piece = number - 1;
+    if (number == 0 || *piece >= hand_.at(place).pieces.size()) return nullptr;
+  }
+  return &hand_.at(place);
+}
+
+void Gatherer::take(clients::Asked& asked) {
+  clients::Ask& ask = asked.ask;
+  if (held_ >= commission_.carriage.most_in_hand) {
+    done_.no_room += 1;
+    return clients_.turn_away(asked.caller, 503, "no room\n");
+  }
+  if (by_wire_id_.contains(ask.id)) {
+    return clients_.turn_away(asked.caller, 400, "x-request-id: one of that id is in hand\n");
+  }
+  const std::uint32_t number = next_number_++;
+  Rid id;
+  char digits[17];
+  std::snprintf(digits, sizeof digits, "%08x00000000", number);
+  std::copy_n(digits, 16, id.text.begin());
+  InHand& mg = hand_.at(hand_.take(id));
+  mg.caller = asked.caller;
+  mg.wire_id = ask.id;
+  mg.op_type = ask.op_type;
+  mg.text = ask.text;
+  for (const clients::Piece& piece : ask.pieces) {
+    mg.pieces.push_back({piece.shard, piece.mass, piece.key, piece.hint, 0, false, 0, {}});
+  }
+  by_caller_[asked.caller] = id;
+  by_wire_id_[mg.wire_id] = id;
+  ++open_;
+  done_.sent += 1;
+  held_ += 1;
+  choice_.multiget_taken({id, static_cast<double>(number), ask.op_type, ask.customer,
+                          static_cast<int>(mg.pieces.size()), asked.sent_by + ask.patience});
+  hand_parts(mg);
+}
+
+void Gatherer::hand_parts(InHand& mg) {
+  std::uint32_t number = 0;
+  std::from_chars(mg.id.text.data(), mg.id.text.data() + 8, number, 16);
+  for (std::size_t i = mg.first_of_step; i < mg.pieces.size(); ++i) {
+    const Piece& piece = mg.pieces[i];
+    held_ += 1;
+    choice_.part_taken(
+        {part_id(mg.id, i), static_cast<double>(number), piece.shard, piece.mass, piece.key, piece.hint});
+  }
+}
+
+void Gatherer::sent_back(servers::Ended& ended) {
+  std::size_t at = 0;
+  InHand* mg = hand_of(ended.part, &at);
+  if (!net::must_hold(mg != nullptr, "a send that ends belongs to a multiget in hand")) return;
+  Piece& piece = mg->pieces[at];
+  mg->out -= 1;
+  if (ended.fate == Fate::returned && !piece.returned && !mg->over) {
+    piece.returned = true;
+    piece.score = ended.score;
+    piece.value = std::move(ended.value);
+  }
+  choice_.send_ended(ended.part, ended.send, ended.fate, ended.elapsed, ended.report);
+  give_back(*mg);
+}
+
+void Gatherer::give_back(InHand& mg) {
+  if (!mg.over || mg.out > 0) return;
+  held_ -= 1 + static_cast<int>(mg.pieces.size());
+  by_wire_id_.erase(mg.wire_id);
+  hand_.give_back(hand_.find(mg.id));
+}
+
+// ---- carry out ----
+
+void Gatherer::carry_out() {
+  while (const auto verdict = choice_.next_verdict()) answered(*verdict);
+  while (const auto gone = choice_.next_withdrawal()) servers_.withdraw(gone->part, gone->send);
+  std::map<std::string, std::vector<servers::Errand>> calls;
+  while (const auto send = choice_.next_send()) {
+    std::size_t at = 0;
+    InHand* mg = hand_of(send->part, &at);
+    if (!net::must_hold(mg != nullptr && !mg->over, "a send belongs to a multiget without its final answer"))
+      continue;
+    Piece& piece = mg->pieces[at];
+    servers::Errand errand;
+    errand.part = send->part;
+    errand.send = piece.sent++;
+    errand.id = mg->wire_id + '.' + std::to_string(piece.shard);
+    if (at >= mg->first_of_step && mg->step == 2) {
+      errand.id += ".phase2";
+      errand.more = ",from=" + mg->from + (mg->first_whole ? ",whole=1" : ",whole=0");
+    }
+    errand.shard = piece.shard;
+    errand.text = mg->text;
+    errand.not_past = send->not_past;
+    errand.pulled = loop_.now();
+    mg->out += 1;
+    calls[std::string(send->server)].push_back(std::move(errand));
+  }
+  for (auto& [server, errands] : calls) servers_.call(server, std::move(errands));
+  while (const auto server = choice_.next_probe()) servers_.probe(std::string(*server));
+  while (const auto call = choice_.next_list_call()) watch_.ask(*call == ListCall::watch);
+  while (const auto note = choice_.next_note()) MD_LOG(info, "decisions: " << *note);
+  while (const auto wake = choice_.next_wake()) loop_.at(loop_.now() + *wake, [this] { woken_ = true; });
+}
+
+// Every final answer passes here, once for each multiget.
+void Gatherer::answered(const Verdict& verdict) {
+  InHand* found = hand_of(verdict.multiget);
+  if (!net::must_hold(found != nullptr && !found->over, "one final answer for each multiget")) return;
+  InHand& mg = *found;
+  const config::OpName& op = commission_.carriage.op_types[static_cast<std::size_t>(mg.op_type)];
+  if (verdict.ending == Ending::answer && mg.step == 1 && op.second_step > 0) {
+    return second_step(mg, verdict.whole);
+  }
+  const std::uint64_t caller = std::exchange(mg.caller, 0);
+  by_caller_.erase(caller);
+  mg.over = true;
+  --open_;
+  if (verdict.ending == Ending::answer) {
+    std::vector<clients::Value> values;
+    for (std::size_t i = mg.first_of_step; i < mg.pieces.size(); ++i) {
+      if (mg.pieces[i].returned) values.push_back({mg.pieces[i].shard, mg.pieces[i].value});
+    }
+    done_.answered += 1;
+    clients_.answer(caller, clients::answer_body(verdict.whole, values));
+  } else if (verdict.ending == Ending::push_back) {
+    done_.pushed_back += 1;
+    clients_.turn_away(caller, 503, "pushed back\n", verdict.come_back);
+  } else {
+    done_.failed += 1;
+    clients_.turn_away(caller, 504, "failed\n");
+  }
+  give_back(mg);
+}
+
+// The first answer is followed by further parts, at the shards that scored highest among those that are in.
+void Gatherer::second_step(InHand& mg, bool whole) {
+  const config::OpName& op = commission_.carriage.op_types[static_cast<std::size_t>(mg.op_type)];
+  std::vector<std::pair<double, int>> in;
+  std::vector<int> shards;
+  for (const Piece& piece : mg.pieces) {
+    if (!piece.returned) continue;
+    in.push_back({-piece.score, piece.shard});
+    shards.push_back(piece.shard);
+  }
+  std::sort(in.begin(), in.end());
+  std::sort(shards.begin(), shards.end());
+  in.resize(std::min(in.size(), static_cast<std::size_t>(op.second_step)));
+  for (const int shard : shards) {
+    if (!mg.from.empty()) mg.from += '+';
+    mg.from += std::to_string(shard);
+  }
+  mg.step = 2;
+  mg.first_whole = whole;
+  mg.first_of_step = mg.pieces.size();
+  for (const auto& [score, shard] : in) {
+    mg.pieces.push_back({shard, 1.0 / static_cast<double>(in.size()), 0, 0s, 0, false, 0, {}});
+  }
+  done_.second_steps += 1;
+  second_steps_.push_back(mg.id);
+}
+
+void Gatherer::report() {
+  const servers::Tally& t = servers_.tally();
+  MD_LOG(info, "taken " << done_.sent << ", answered " << done_.answered << ", pushed back " << done_.pushed_back
+                        << ", failed " << done_.failed << ", client left " << done_.left << ", no room "
+                        << done_.no_room << ", second steps " << done_.second_steps << "; in hand " << open_
+                        << "; calls " << t.calls << ", sends " << t.sends << ", probes " << t.probes
+                        << ", connections opened " << t.opened << ", held " << servers_.connections() << " and "
+                        << clients_.size() << " of clients; not connected " << t.dial_failed << ", dropped "
+                        << t.dropped << ", expired " << t.expired << ", odd frames " << t.odd_frames
+                        << "; broken invariants " << net::broken_invariants());
+}
+
+}  // namespace marbledyke::gatherer
--- /dev/null
+++ b/src/gatherer/gatherer.h
@@ -0,0 +1,99 @@
+// The gatherer's turn: what is ready is gathered, handed to the module in one go, and what it decides is carried
+// out. Keeps the multigets in hand and their ids; decides nothing.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "choice.h"
+#include "clients/clients.h"
+#include "config/commission.h"
+#include "list/watch.h"
+#include "model/slab.h"
+#include "net/loop.h"
+#include "servers/servers.h"
+
+namespace marbledyke::gatherer {
+
+class Gatherer {
+ public:
+  explicit Gatherer(const config::Commission& commission);
+
+  // One turn; false once all is done after leave().
+  bool turn();
+  // A planned stop: what comes for a while yet is still taken, what was taken is finished.
+  void leave();
+  net::Loop& loop() { return loop_; }
+  void report();  // a log line of what has been done
+
+ private:
+  struct Piece {
+    int shard = 0;
+    double mass = 0;
+    std::uint64_t key = 0;
+    Span hint{};
+    int sent = 0;
+    bool returned = false;
+    double score = 0;
+    std::string value;
+  };
+
+  // A multiget from its request to the end of its last send. Its id and its parts' differ in their last digits.
+  struct InHand {
+    Rid id;
+    std::uint64_t caller = 0;  // 0 once it has its final answer or its client has left
+    std::string wire_id;
+    int op_type = 0;
+    int step = 1;
+    bool first_whole = false;
+    bool over = false;
+    int out = 0;  // sends
+    std::size_t first_of_step = 0;
+    std::vector<Piece> pieces;  // of both steps
+    std::shared_ptr<const std::string> text;
+    std::string from;  // the shards that the second step is from
+  };
+
+  struct Taken {
+    std::uint64_t sent = 0, answered = 0, pushed_back = 0, failed = 0, left = 0, no_room = 0, second_steps = 0;
+  };
+
+  Rid part_id(const Rid& multiget, std::size_t piece) const;
+  InHand* hand_of(const Rid& part, std::size_t* piece = nullptr);
+  void hand_over();
+  void carry_out();
+  void take(clients::Asked& asked);
+  void hand_parts(InHand& mg);
+  void sent_back(servers::Ended& ended);
+  void answered(const Verdict& verdict);
+  void second_step(InHand& mg, bool whole);
+  void give_back(InHand& mg);
+  void list_came(list::News&& news);
+
+  const config::Commission& commission_;
+  net::Loop loop_;
+  Span unix_start_;
+  Choice choice_;
+  servers::Servers servers_;
+  clients::Clients clients_;
+  list::Watch watch_;
+  Slab<InHand> hand_;
+  int held_ = 0;  // multigets and parts
+  int open_ = 0;  // multigets not finally answered
+  std::uint32_t next_number_ = 1;
+  std::vector<std::uint64_t> numbers_;
+  std::map<std::uint64_t, Rid> by_caller_;
+  std::map<std::string, Rid, std::less<>> by_wire_id_;
+  std::vector<Rid> second_steps_;  // whose parts the module is told of in the next turn
+  std::vector<list::News> news_;
+  int refusals_ = 0;
+  bool woken_ = true;
+  bool leaving_ = false, accepting_ = true;
+  Taken done_;
+};
+
+}  // namespace marbledyke::gatherer
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,81 @@
+#include "net/loop.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <system_error>
+
+namespace marbledyke::net {
+
+Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), start_(std::chrono::steady_clock::now()) {
+  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+void Loop::read_clock() {
+  now_ = std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - start_);
+}
+
+std::uint32_t Loop::watch(int fd, Watcher& watcher) {
+  std::uint32_t place = static_cast<std::uint32_t>(places_.size());
+  if (free_.empty()) {
+    places_.emplace_back();
+  } else {
+    place = free_.back();
+    free_.pop_back();
+  }
+  places_[place].watcher = &watcher;
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.u64 = std::uint64_t{places_[place].generation} << 32 | place;
+  if (epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0) {
+    forget(-1, place);
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  }
+  return place;
+}
+
+void Loop::forget(int fd, std::uint32_t place) {
+  if (fd >= 0) epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+  places_[place].watcher = nullptr;
+  ++places_[place].generation;  // an event of this round that still names the place is for nobody
+  free_.push_back(place);
+}
+
+Loop::Timer Loop::at(Span when, std::function<void()> what) {
+  const Timer timer{when, next_timer_++};
+  timers_.emplace(timer, std::move(what));
+  return timer;
+}
+
+void Loop::gather(bool wait) {
+  int patience = 0;
+  if (wait) {
+    patience = -1;
+    read_clock();
+    if (!timers_.empty()) {
+      const Span left = std::max(timers_.begin()->first.first - now_, Span::zero());
+      patience = static_cast<int>(std::min<std::int64_t>((left.count() + 999) / 1000, 60'000));
+    }
+  }
+  std::array<epoll_event, 256> events;
+  const int count = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), patience);
+  if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  read_clock();
+  for (int i = 0; i < count; ++i) {
+    const epoll_event& event = events[static_cast<std::size_t>(i)];
+    const Place& place = places_[event.data.u64 & 0xffffffff];
+    if (place.watcher == nullptr || place.generation != event.data.u64 >> 32) continue;
+    const bool broken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
+    place.watcher->ready(broken || (event.events & (EPOLLIN | EPOLLRDHUP)) != 0,
+                         broken || (event.events & EPOLLOUT) != 0);
+  }
+  while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+    const std::function<void()> what = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    what();
+  }
+}
+
+}  // namespace marbledyke::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,57 @@
+// The event loop: epoll, edge-triggered, with timers. Watchers are told what is ready; who wants a turn of its
+// own after that sets it from outside.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "model/plain.h"
+#include "net/descriptor.h"
+
+namespace marbledyke::net {
+
+class Watcher {
+ public:
+  virtual ~Watcher() = default;
+  virtual void ready(bool readable, bool writable) = 0;
+};
+
+class Loop {
+ public:
+  using Timer = std::pair<Span, std::uint64_t>;
+
+  Loop();
+
+  // The clock of the present turn, read once in each; since the loop was made.
+  Span now() const { return now_; }
+  void read_clock();
+
+  // A watch ends with forget(), which is safe while events of the same round are being told.
+  std::uint32_t watch(int fd, Watcher& watcher);
+  void forget(int fd, std::uint32_t place);
+
+  Timer at(Span when, std::function<void()> what);
+  void cancel(const Timer& timer) { timers_.erase(timer); }
+
+  // Waits for what is ready, until the next timer at the latest, and tells it.
+  void gather(bool wait);
+
+ private:
+  struct Place {
+    Watcher* watcher = nullptr;
+    std::uint32_t generation = 0;
+  };
+
+  Descriptor epoll_;
+  std::chrono::steady_clock::time_point start_;
+  Span now_{};
+  std::vector<Place> places_;
+  std::vector<std::uint32_t> free_;
+  std::map<Timer, std::function<void()>> timers_;
+  std::uint64_t next_timer_ = 0;
+};
+
+}  // namespace marbledyke::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,147 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
+
+namespace marbledyke::net {
+namespace {
+
+const sockaddr* plain(const sockaddr_in& address) { return reinterpret_cast<const sockaddr*>(&address); }
+
+void send_at_once(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+std::optional<sockaddr_in> parse_address(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &out.sin_addr) != 1) return std::nullopt;
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  const auto [at, wrong] = std::from_chars(text.data() + colon + 1, end, port);
+  if (wrong != std::errc() || at != end || port == 0 || port > 65535) return std::nullopt;
+  out.sin_port = htons(static_cast<std::uint16_t>(port));
+  return out;
+}
+
+Descriptor listen_on(const sockaddr_in& address) {
+  Descriptor fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) return fd;
+  const int on = 1;
+  setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind(fd.get(), plain(address), sizeof address) != 0 || listen(fd.get(), SOMAXCONN) != 0) return {};
+  return fd;
+}
+
+Descriptor start_connect(const sockaddr_in& to) {
+  Descriptor fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) return fd;
+  send_at_once(fd.get());
+  if (connect(fd.get(), plain(to), sizeof to) != 0 && errno != EINPROGRESS && errno != EINTR) return {};
+  return fd;
+}
+
+Descriptor accept_from(int listener) {
+  Descriptor fd(accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (fd) send_at_once(fd.get());
+  return fd;
+}
+
+Stream::Stream(Loop& loop, Descriptor fd, bool connected, std::size_t most_in, std::size_t most_out, Told told)
+    : loop_(loop),
+      fd_(std::move(fd)),
+      place_(loop.watch(fd_.get(), *this)),
+      connected_(connected),
+      in_(most_in),
+      out_(most_out),
+      told_(std::move(told)) {}
+
+Stream::~Stream() { close(); }
+
+void Stream::close() {
+  if (!fd_) return;
+  loop_.forget(fd_.get(), place_);
+  fd_.close();
+  in_.clear();
+  out_.clear();
+}
+
+void Stream::finish() {
+  if (fd_) shutdown(fd_.get(), SHUT_WR);
+}
+
+void Stream::end() {
+  const bool was = connected_;
+  close();
+  if (told_.ended) told_.ended(was);
+}
+
+void Stream::ready(bool readable, bool writable) {
+  if (!connected_) {
+    if (!writable && !readable) return;
+    int wrong = 0;
+    socklen_t size = sizeof wrong;
+    sockaddr_in peer{};
+    socklen_t peer_size = sizeof peer;
+    if (getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &wrong, &size) != 0 || wrong != 0) return end();
+    // Not yet connected is told as ENOTCONN without an error pending.
+    if (getpeername(fd_.get(), reinterpret_cast<sockaddr*>(&peer), &peer_size) != 0) return;
+    connected_ = true;
+    if (told_.opened) told_.opened();
+    if (closed()) return;
+  }
+  if (writable && !out_.empty()) flush();
+  if (readable && !closed()) {
+    left_unread_ = true;
+    read_on();
+  }
+}
+
+void Stream::read_on() {
+  while (left_unread_ && !closed()) {
+    if (in_.full()) return;  // the owner reads on once it has taken something
+    const std::span<char> gap = in_.gap();
+    const ssize_t got = recv(fd_.get(), gap.data(), gap.size(), 0);
+    if (got > 0) {
+      in_.filled(static_cast<std::size_t>(got));
+      if (told_.arrived) told_.arrived();
+    } else if (got == 0) {
+      return end();
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      left_unread_ = false;
+    } else if (errno != EINTR) {
+      return end();
+    }
+  }
+}
+
+void Stream::flush() {
+  // Whoever is told that all is out may put in more: that is written by this same loop, not by a deeper one.
+  if (!connected_ || flushing_) return;
+  flushing_ = true;
+  while (!closed() && !out_.empty()) {
+    const std::string_view front = out_.front();
+    const ssize_t sent = send(fd_.get(), front.data(), front.size(), MSG_NOSIGNAL);
+    if (sent > 0) {
+      out_.drop(static_cast<std::size_t>(sent));
+      if (out_.empty() && told_.drained) told_.drained();
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      break;
+    } else if (errno != EINTR) {
+      flushing_ = false;
+      return end();
+    }
+  }
+  flushing_ = false;
+}
+
+}  // namespace marbledyke::net
--- /dev/null
+++ b/src/servers/servers.h
@@ -0,0 +1,105 @@
+// The connections to the shard servers: sends go out as calls, and each comes back with exactly one fate.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/commission.h"
+#include "list/news.h"
+#include "net/loop.h"
+#include "net/socket.h"
+#include "servers/frames.h"
+
+namespace marbledyke::servers {
+
+// A send as it is to be carried out.
+struct Errand {
+  Rid part;
+  int send = 0;
+  std::string id;    // the part's id on the wire
+  int shard = 0;
+  std::string more;  // what its list holds beside the time left
+  std::shared_ptr<const std::string> text;
+  Span not_past{};
+  Span pulled{};
+};
+
+struct Ended {
+  Rid part;
+  int send = 0;
+  Fate fate = Fate::unused;
+  Span elapsed{};
+  LoadReport report;
+  double score = 0;
+  std::string value;
+};
+
+struct Probed {
+  std::string server;
+  Fate fate = Fate::unused;
+  Span elapsed{};
+  LoadReport report;
+};
+
+struct Tally {
+  std::uint64_t opened = 0, calls = 0, sends = 0, probes = 0, dial_failed = 0, dropped = 0, expired = 0,
+                odd_frames = 0;
+};
+
+class Servers {
+ public:
+  // make_room is asked for a descriptor where none is left.
+  Servers(net::Loop& loop, const config::Carriage& carriage, std::function<bool()> make_room);
+  ~Servers();
+
+  void listed(const list::Entry& entry);
+  // One turn's sends to one server, in one call as far as a call goes.
+  void call(const std::string& server, std::vector<Errand> errands);
+  void withdraw(const Rid& part, int send);
+  void probe(const std::string& server);
+
+  // What has ended since the last time.
+  std::vector<Ended> ended;
+  std::vector<Probed> probed;
+
+  const Tally& tally() const { return tally_; }
+  std::size_t connections() const { return links_.size(); }
+
+ private:
+  struct Link;
+  using SendKey = std::pair<Rid, int>;
+
+  Link* link_for(const std::string& server, const std::vector<Errand>& errands);
+  Link* dial(const std::string& server);
+  void pump(Link& link);
+  void written(Link& link);
+  void arrived(Link& link);
+  void heard(Link& link, Frame& frame);
+  void broke(Link& link, bool connected);
+  void drop(Link& link, const char* why);
+  void settle(Link& link, const std::string& id, Fate fate, PartAnswer answer = {});
+  void end(const Errand& errand, Fate fate, PartAnswer answer = {});
+  void give_up(const SendKey& key, Fate fate);
+  void end_probe(Link& link, Fate fate, LoadReport report = {});
+  void doubt(Link& link, Span since);
+  void rest(Link& link);
+  void bury();
+
+  net::Loop& loop_;
+  const config::Carriage& carriage_;
+  std::function<bool()> make_room_;
+  std::map<std::string, sockaddr_in, std::less<>> addresses_;
+  std::map<std::uint64_t, std::unique_ptr<Link>> links_;  // by their number, so in the order of their opening
+  std::vector<std::unique_ptr<Link>> graves_;             // ended, perhaps still being told of it
+  std::map<SendKey, std::pair<std::uint64_t, std::string>> out_;  // link and wire id of each send that is out
+  std::uint64_t next_link_ = 1;
+  Tally tally_;
+};
+
+}  // namespace marbledyke::servers
--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -3,12 +3,12 @@
 #include <cstdlib>
 #include <iostream>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "choice.h"
+#include "config/fields.h"
 
 namespace {
 
@@ -17,39 +17,14 @@
 using marbledyke::Rid;
 using marbledyke::Span;
 using marbledyke::Standing;
-using nlohmann::json;
-
-struct BadInput : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-const json& need(const json& from, const char* field) {
-  if (!from.is_object()) throw BadInput(std::string(field) + ": its holder is not an object");
-  const auto at = from.find(field);
-  if (at == from.end() || at->is_null()) throw BadInput(std::string(field) + ": missing");
-  return *at;
-}
-
-double number(const json& value, const char* field) {
-  if (!value.is_number()) throw BadInput(std::string(field) + ": not a number");
-  return value.get<double>();
-}
-
-std::int64_t whole(const json& from, const char* field) {
-  const json& value = need(from, field);
-  if (!value.is_number_integer()) throw BadInput(std::string(field) + ": not a whole number");
-  return value.get<std::int64_t>();
-}
-
-std::int64_t whole_or(const json& from, const char* field, std::int64_t otherwise) {
-  return from.contains(field) && !from[field].is_null() ? whole(from, field) : otherwise;
-}
-
-const std::string& text(const json& from, const char* field) {
-  const json& value = need(from, field);
-  if (!value.is_string()) throw BadInput(std::string(field) + ": not a string");
-  return value.get_ref<const std::string&>();
-}
+using marbledyke::config::BadInput;
+using marbledyke::config::flatten;
+using marbledyke::config::json;
+using marbledyke::config::need;
+using marbledyke::config::number;
+using marbledyke::config::text;
+using marbledyke::config::whole;
+using marbledyke::config::whole_or;
 
 Rid rid(const json& from) {
   const std::string& id = text(from, "request-id");
@@ -90,22 +65,6 @@
   return out;
 }
 
-void flatten(const json& value, const std::string& name, marbledyke::Terms& into) {
-  const std::string prefix = name.empty() ? name : name + ".";
-  if (value.is_object()) {
-    for (const auto& [key, inner] : value.items()) flatten(inner, prefix + key, into);
-  } else if (value.is_array()) {
-    std::size_t place = 0;
-    for (const json& inner : value) flatten(inner, prefix + std::to_string(place++), into);
-  } else if (value.is_boolean()) {
-    into[name] = value.get<bool>();
-  } else if (value.is_number()) {
-    into[name] = value.get<double>();
-  } else if (value.is_string()) {
-    into[name] = value.get<std::string>();
-  }
-}
-
 struct Instance {
   Choice choice;
   std::int64_t epoch = 0;
