--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kMostBody = 64 * 1024;  // the protocol's
+constexpr int kAcceptsARound = 64;
 constexpr std::size_t kMostAnswer = 32 * 1024 * 1024;
 
 }  // namespace
@@ -33,21 +34,26 @@
 
 void Clients::ready(bool, bool) { accept(); }
 
-void Clients::accept() {
+bool Clients::accept() {
   more_to_accept_ = false;
-  while (listener_) {
+  // A flood of connections waits its turn like everything else.
+  for (int count = 0; listener_; ++count) {
+    if (count == kAcceptsARound) {
+      loop_.at(loop_.now(), [this] { accept(); });
+      return true;
+    }
     if (callers_.size() >= most_ && !make_room()) {
       more_to_accept_ = true;  // taken up again when a connection ends
-      return;
+      return false;
     }
     net::Descriptor fd = net::accept_from(listener_.get());
     if (!fd) {
       if (errno == EINTR || errno == ECONNABORTED) continue;
-      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return false;
       if ((errno == EMFILE || errno == ENFILE) && make_room()) continue;
       more_to_accept_ = true;
       MD_LOG(warning, "clients: cannot accept: " << std::generic_category().message(errno));
-      return;
+      return false;
     }
     auto made = std::make_unique<Caller>();
     Caller* const caller = made.get();
@@ -59,6 +65,7 @@
         net::Stream::Told{nullptr, [this, caller] { arrived(*caller); }, [this, caller] { drained(*caller); },
                           [this, caller](bool) { close(*caller); }});
   }
+  return false;
 }
 
 void Clients::arrived(Caller& caller) {
@@ -83,7 +90,8 @@
   const std::string path = message.second.substr(0, message.second.find('?'));
   if (path == "/healthz") {
     if (message.first != "GET") return turn_away(caller.number, 405, "only GET is answered here\n");
-    return say(caller, answer_text(200, "serving\n", caller.stays && !leaving_), caller.stays && !leaving_);
+    if (leaving_) return turn_away(caller.number, 503, "stopping\n");
+    return say(caller, answer_text(200, "serving\n", caller.stays), caller.stays);
   }
   if (path != "/api") return turn_away(caller.number, 404, "there is nothing here\n");
   if (message.first != "POST") return turn_away(caller.number, 405, "only POST is answered here\n");
@@ -143,12 +151,19 @@
   }
 }
 
-bool Clients::make_room() {
+// The connection between requests that has been so longest; with partly, one whose request is still coming in.
+Clients::Caller* Clients::longest_waiting(bool partly) {
   Caller* longest = nullptr;
   for (const auto& [number, caller] : callers_) {
-    if (caller->in_hand || caller->answering || caller->reader.begun()) continue;
+    if (caller->in_hand || caller->answering || caller->reader.begun() != partly) continue;
     if (longest == nullptr || caller->idle_since < longest->idle_since) longest = caller.get();
   }
+  return longest;
+}
+
+bool Clients::make_room() {
+  Caller* longest = longest_waiting(false);
+  if (longest == nullptr) longest = longest_waiting(true);  // else slow senders could hold every place
   if (longest == nullptr) return false;
   close(*longest);
   return true;
@@ -160,14 +175,14 @@
 
 void Clients::stop_accepting() {
   if (!listener_) return;
-  accept();
+  while (accept()) {
+  }
   loop_.forget(listener_.get(), place_);
   listener_.close();
 }
 
 void Clients::close_idle() {
-  while (make_room()) {
-  }
+  while (Caller* const idle = longest_waiting(false)) close(*idle);
 }
 
 }  // namespace marbledyke::clients
--- a/src/clients/clients.h
+++ b/src/clients/clients.h
@@ -35,7 +35,7 @@
   void leave();
   void stop_accepting();
   void close_idle();
-  bool make_room();  // ends the connection that has been idle longest
+  bool make_room();  // ends the connection that has been waiting longest for a request
   bool empty() const { return callers_.empty(); }
   std::size_t size() const { return callers_.size(); }
 
@@ -48,7 +48,8 @@
 
  private:
   struct Caller;
-  void accept();
+  bool accept();  // true where more may be waiting
+  Caller* longest_waiting(bool partly);
   void arrived(Caller& caller);
   void request(Caller& caller);
   void say(Caller& caller, const std::string& text, bool stays);
--- a/src/config/commission.h
+++ b/src/config/commission.h
@@ -34,6 +34,7 @@
   Span connect_timeout{};
   Span idle{};
   Span ask_every{};  // how long the list may go unasked
+  bool list_is_asked = false;  // the module decides when; else it is watched from the start
 };
 
 struct Commission {
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -15,6 +15,8 @@
 
 // New connections keep coming for up to 0.4 s after a planned stop begins, by the protocol.
 constexpr Span kStillComing = 400ms;
+// A watch that broke is taken up again after this: by the protocol, what is listed counts as told 2 s after a wait.
+constexpr Span kListRest = 2s;
 // What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice.
 constexpr int kOwnDescriptors = 8;
 
@@ -30,6 +32,14 @@
   return static_cast<std::size_t>(std::max(left, commission.sockets / 2));
 }
 
+list::News read_known(const config::Commission& commission, Span unix_start) {
+  try {
+    return list::read_news(commission.known, commission.carriage, unix_start);
+  } catch (const config::BadInput& wrong) {
+    throw config::BadInput(std::string("known.") + wrong.what());
+  }
+}
+
 }  // namespace
 
 Gatherer::Gatherer(const config::Commission& commission)
@@ -42,16 +52,17 @@
              {[this](list::News news) { news_.push_back(std::move(news)); }, [this] { ++refusals_; }}),
       hand_(static_cast<std::size_t>(commission.carriage.most_in_hand)) {
   choice_.clock(loop_.now());
-  if (!commission.known.is_object()) return;
-  list::News known = list::read_news(commission.known, commission.carriage, unix_start_);
-  choice_.list_opens(true, true);
-  for (const list::Entry& entry : known.entries) {
-    servers_.listed(entry);
-    choice_.list_row(entry.row);
+  if (commission.known.is_object()) {
+    list::News known = read_known(commission, unix_start_);
+    known.whole = true;
+    servers_.listed(known);
+    choice_.list_opens(true, true);
+    for (const list::Entry& entry : known.entries) choice_.list_row(entry.row);
+    choice_.list_closes();
+    watch_.held(known.index);
+    MD_LOG(info, "starts with " << known.entries.size() << " servers remembered, version " << known.index);
   }
-  choice_.list_closes();
-  watch_.held(known.index);
-  MD_LOG(info, "starts with " << known.entries.size() << " servers remembered, version " << known.index);
+  if (!commission.carriage.list_is_asked) watch_.ask(true);
 }
 
 bool Gatherer::turn() {
@@ -85,7 +96,11 @@
   woken_ = false;
   choice_.clock(loop_.now());
   for (list::News& news : std::exchange(news_, {})) list_came(std::move(news));
-  for (; refusals_ > 0; --refusals_) choice_.list_refused();
+  for (; refusals_ > 0; --refusals_) {
+    choice_.list_refused();
+    // Where the list is pushed nobody decides to ask for it; the connection that brings it is kept up here.
+    if (!commission_.carriage.list_is_asked) loop_.at(loop_.now() + kListRest, [this] { watch_.ask(true); });
+  }
   for (servers::Ended& ended : std::exchange(servers_.ended, {})) sent_back(ended);
   for (const servers::Probed& probed : std::exchange(servers_.probed, {}))
     choice_.probe_ended(probed.server, probed.fate, probed.elapsed, probed.report);
@@ -110,9 +125,9 @@
 }
 
 void Gatherer::list_came(list::News&& news) {
+  servers_.listed(news);
   choice_.list_opens(news.whole, false);
   for (const list::Entry& entry : news.entries) {
-    servers_.listed(entry);
     choice_.list_row(entry.row);
     MD_LOG(debug, "list: " << entry.row.server << (entry.row.standing == Standing::up         ? " is up"
                                                    : entry.row.standing == Standing::draining ? " drains"
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -29,6 +29,7 @@
   void leave();
   net::Loop& loop() { return loop_; }
   void report();  // a log line of what has been done
+  const servers::Tally& tally() const { return servers_.tally(); }
 
  private:
   struct Piece {
--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -55,7 +55,14 @@
 
 Servers::~Servers() = default;
 
-void Servers::listed(const list::Entry& entry) { addresses_[entry.row.server] = entry.address; }
+void Servers::listed(const list::News& news) {
+  if (news.whole) {
+    for (auto& [name, place] : places_) place.up = false;
+  }
+  for (const list::Entry& entry : news.entries) {
+    places_[entry.row.server] = {entry.address, entry.row.standing == Standing::up};
+  }
+}
 
 void Servers::call(const std::string& server, std::vector<Errand> errands) {
   bury();
@@ -115,11 +122,11 @@
 // A connection that is open, or opening, has room, and has not kept silent. One on which an earlier send of the
 // same part may still be answered is passed over, since the answers could not be told apart.
 Servers::Link* Servers::link_for(const std::string& server, const std::vector<Errand>& errands) {
-  const auto address = addresses_.find(server);
-  if (address == addresses_.end()) return nullptr;
+  const auto place = places_.find(server);
+  if (place == places_.end()) return nullptr;
   const auto room = static_cast<std::size_t>(carriage_.parts_a_connection);
   for (const auto& [number, link] : links_) {
-    if (link->server != server || !link->trusted || !same(link->address, address->second)) continue;
+    if (link->server != server || !link->trusted || !same(link->address, place->second.address)) continue;
     if (errands.empty() ? link->probing : link->outs.size() + errands.size() > room) continue;
     std::erase_if(link->given_up, [&](const auto& one) { return one.second < loop_.now(); });
     const bool clash = std::any_of(errands.begin(), errands.end(), [&](const Errand& errand) {
@@ -134,7 +141,7 @@
   auto link = std::make_unique<Link>();
   link->number = next_link_++;
   link->server = server;
-  link->address = addresses_.find(server)->second;
+  link->address = places_.find(server)->second.address;
   net::Descriptor fd = net::start_connect(link->address);
   if (!fd && errno == EMFILE && make_room_()) fd = net::start_connect(link->address);
   if (!fd) {
@@ -176,7 +183,12 @@
     std::string bytes;
     const std::size_t place = begin_frame(bytes, link.writing.letter);
     if (link.writing.letter == '1') {
-      std::erase_if(link.writing.ids, [&](const std::string& id) { return !link.outs.contains(id); });
+      // What waited for the connection while the list took the server out is not written any more.
+      const bool up = places_.find(link.server)->second.up;
+      std::erase_if(link.writing.ids, [&](const std::string& id) {
+        if (!up && link.outs.contains(id)) settle(link, id, Fate::unused);
+        return !link.outs.contains(id);
+      });
       for (const std::string& id : link.writing.ids) {
         Link::Out& out = link.outs.at(id);
         out.stage = Link::Stage::writing;
--- a/src/servers/servers.h
+++ b/src/servers/servers.h
@@ -58,7 +58,7 @@
   Servers(net::Loop& loop, const config::Carriage& carriage, std::function<bool()> make_room);
   ~Servers();
 
-  void listed(const list::Entry& entry);
+  void listed(const list::News& news);
   // One turn's sends to one server, in one call as far as a call goes.
   void call(const std::string& server, std::vector<Errand> errands);
   void withdraw(const Rid& part, int send);
@@ -73,6 +73,10 @@
 
  private:
   struct Link;
+  struct Place {
+    sockaddr_in address{};
+    bool up = false;
+  };
   using SendKey = std::pair<Rid, int>;
 
   Link* link_for(const std::string& server, const std::vector<Errand>& errands);
@@ -94,7 +98,7 @@
   net::Loop& loop_;
   const config::Carriage& carriage_;
   std::function<bool()> make_room_;
-  std::map<std::string, sockaddr_in, std::less<>> addresses_;
+  std::map<std::string, Place, std::less<>> places_;
   std::map<std::uint64_t, std::unique_ptr<Link>> links_;  // by their number, so in the order of their opening
   std::vector<std::unique_ptr<Link>> graves_;             // ended, perhaps still being told of it
   std::map<SendKey, std::pair<std::uint64_t, std::string>> out_;  // link and wire id of each send that is out
--- /dev/null
+++ b/tests/gatherer_traces.cpp
@@ -0,0 +1,426 @@
+// Traces of the whole program on loopback sockets, among stand-ins for clients, shard servers and discovery that
+// live in this same thread; one case a run, the kept ones are in traces/. Each step waits for what it expects, so
+// the machine's speed does not matter.
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <list>
+#include <string>
+
+#include "gatherer/gatherer.h"
+#include "net/log.h"
+#include "net/socket.h"
+
+using namespace marbledyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Addresses of this run's own, so that runs side by side do not meet.
+std::string address(int last) {
+  const int pid = getpid();
+  return "127." + std::to_string(100 + pid % 100) + '.' + std::to_string(pid / 100 % 250) + '.' +
+         std::to_string(last) + ":9000";
+}
+
+void say(const std::string& what) { std::printf("%s\n", what.c_str()); }
+
+// One socket of a stand-in, read as far as there is something.
+struct Wire {
+  net::Descriptor fd;
+  bool ended = false;
+
+  std::string take() {
+    char bytes[4096];
+    std::string out;
+    while (fd && !ended) {
+      const ssize_t got = recv(fd.get(), bytes, sizeof bytes, MSG_DONTWAIT);
+      if (got > 0) {
+        out.append(bytes, static_cast<std::size_t>(got));
+      } else {
+        ended = got == 0 || (errno != EAGAIN && errno != EINTR);
+        break;
+      }
+    }
+    return out;
+  }
+  void put(const std::string& bytes) {
+    if (send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) say("NOT SENT");
+  }
+  // What was not read is answered with a reset.
+  void reset() {
+    const linger now{1, 0};
+    setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    fd.close();
+  }
+};
+
+struct Host {
+  explicit Host(int last) : listener(net::listen_on(*net::parse_address(address(last)))) {
+    if (!listener) say("CANNOT LISTEN");
+  }
+  virtual ~Host() = default;
+  virtual void hear() = 0;
+  Wire* accept() {
+    net::Descriptor fd = net::accept_from(listener.get());
+    if (!fd) return nullptr;
+    wires.push_back({std::move(fd), false});
+    return &wires.back();
+  }
+  net::Descriptor listener;
+  std::list<Wire> wires;
+};
+
+// A shard server: keeps the frames it gets until the test looks at them.
+struct Leaf : Host {
+  using Host::Host;
+  struct Got {
+    Wire* wire;
+    std::string text;
+  };
+  void hear() override {
+    while (accept() != nullptr) {
+      readers.emplace_back();
+      opened += 1;
+    }
+    auto reader = readers.begin();
+    for (Wire& wire : wires) {
+      const std::string bytes = wire.take();
+      std::string_view left = bytes;
+      while (!left.empty()) {
+        left.remove_prefix(reader->take(left));
+        if (reader->state() != servers::FrameReader::State::done) continue;
+        std::string text = reader->frame().letter + std::string(" ") + reader->frame().rest;
+        for (std::size_t at; (at = text.find('\n')) != std::string::npos;) text.replace(at, 1, "|");
+        for (std::size_t at = 0; (at = text.find(" d=", at)) != std::string::npos;) {
+          at += 3;
+          text.replace(at, text.find_first_not_of("0123456789", at) - at, "*");
+        }
+        got.push_back({&wire, text});
+        reader->restart();
+      }
+      ++reader;
+    }
+  }
+  void answer(Wire* wire, const std::string& id, const std::string& rest, const std::string& value) {
+    std::string frame;
+    const std::size_t place = servers::begin_frame(frame, '5');
+    frame += id + ' ' + rest + '\n' + value;
+    servers::end_frame(frame, place);
+    wire->put(frame);
+  }
+  std::list<servers::FrameReader> readers;
+  std::deque<Got> got;
+  int opened = 0;
+};
+
+struct Discovery : Host {
+  using Host::Host;
+  void hear() override {
+    while (accept() != nullptr) {
+    }
+    for (Wire& wire : wires) {
+      if (const std::string bytes = wire.take(); !bytes.empty()) {
+        asked.push_back(bytes.substr(0, bytes.find(" HTTP")));
+        last = &wire;
+      }
+    }
+  }
+  void answer(const std::string& body) {
+    last->put("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  std::deque<std::string> asked;
+  Wire* last = nullptr;
+};
+
+struct Client {
+  Client() : wire{net::start_connect(*net::parse_address(address(1))), false} {}
+  void send(const std::string& id, const std::string& op_type, const std::string& slices,
+            const std::string& more = "") {
+    const std::string body = "{\"slices\":" + slices + ",\"filter\":\"f00d\"}";
+    wire.put("POST /api HTTP/1.1\r\nX-Request-Id: " + id + "\r\nX-Class: " + op_type + "\r\n" + more +
+             "X-Deadline-Ms: 50000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  bool answered() {
+    text += wire.take();
+    return text.find("\r\n\r\n") != std::string::npos;
+  }
+  std::string answer() {
+    std::string out = text.substr(9, 3) + (text.find("Connection: close") != std::string::npos ? " closing" : "") +
+                      (text.find("Retry-After") != std::string::npos ? " come back" : "") + " " +
+                      text.substr(text.find("\r\n\r\n") + 4);
+    while (!out.empty() && out.back() == '\n') out.pop_back();
+    text.clear();
+    return out;
+  }
+  Wire wire;
+  std::string text;
+};
+
+std::string entry(const std::string& name, int last, const std::string& status = "ready") {
+  return "{\"name\":\"" + name + "\",\"address\":\"" + address(last) +
+         "\",\"zone\":\"a\",\"group\":0,\"status\":\"" + status + "\",\"since_ms\":0}";
+}
+
+struct Scene {
+  explicit Scene(const std::string& entries)
+      : commission(config::read_commission(
+            R"({"name":"n0","listen":")" + address(1) + R"(","discovery":")" + address(2) +
+            R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" + entries +
+            R"(]},"settings":{"categories":[
+              {"name":"draft","deadline":60000000,"objective":30000000,"effect":"repeatable"},
+              {"name":"issue","deadline":60000000,"objective":30000000,"effect":"once"}],
+            "zones":["a"],"telemetry":{"fields":["cpu"],"how":"on_probe"},"registry-mode":"ask","replicas-of-me":1,
+            "specifics":{"slabs":4,"sets":1,"width":1,"bundle-max":16,"overhead":80000,"second-step":[2,0],
+              "class-floor":[1,1],"complete-from":[1,1]},
+            "limits":{"max-open":9,"streams-per-conn":100,"connect-timeout":20000000,"conn-idle":60000000,
+              "attempts-cap":3,"cancel":true,"retry-after":true,"max-retry-after":1000000},
+            "contract":{"ask-every":10000000}}})")),
+        gatherer(commission) {}
+
+  void until(const char* what, const std::function<bool()>& holds) {
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    for (;;) {
+      for (Host* host : hosts) host->hear();
+      if (holds()) return;
+      if (std::chrono::steady_clock::now() > end) {
+        std::printf("WAITED IN VAIN for %s\n", what);
+        std::exit(1);
+      }
+      running = gatherer.turn() && running;
+    }
+  }
+  // The next frame at a leaf, printed.
+  Leaf::Got next(Leaf& leaf, const char* name) {
+    until("a frame", [&] { return !leaf.got.empty(); });
+    const Leaf::Got got = leaf.got.front();
+    leaf.got.pop_front();
+    say(std::string(name) + " gets " + got.text);
+    return got;
+  }
+  void answered(Client& client, const char* name) {
+    until("an answer", [&] { return client.answered(); });
+    say(std::string(name) + " gets " + client.answer());
+  }
+
+  config::Commission commission;
+  std::vector<Host*> hosts;
+  gatherer::Gatherer gatherer;
+  bool running = true;
+};
+
+const std::string kOne = R"([{"slice":1,"mass":1}])";
+const std::string kTwo = R"([{"slice":1,"mass":0.5},{"slice":3,"mass":0.5}])";
+
+// A multiget's whole life; parts of a turn share a call, answers come in any order, the connection is kept.
+void life() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  Client client;
+  for (const char* id : {"m1", "m2"}) {
+    client.send(id, "issue", kTwo);
+    const auto got = scene.next(leaf, "leaf");
+    leaf.answer(got.wire, std::string(id) + ".3", "S 5 -", "three");
+    leaf.answer(got.wire, std::string(id) + ".1", "S 9 -", "o\"ne");
+    scene.answered(client, "client");
+  }
+  say("connections opened: " + std::to_string(leaf.opened));
+}
+
+// The second step goes to the shards that scored highest; its values alone make the answer.
+void second_step() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  Client client;
+  client.send("m", "draft", R"([{"slice":0,"mass":0.3},{"slice":1,"mass":0.3},{"slice":2,"mass":0.4}])");
+  auto got = scene.next(leaf, "leaf");
+  leaf.answer(got.wire, "m.0", "S 10 -", "a");
+  leaf.answer(got.wire, "m.1", "S 9 -", "b");
+  leaf.answer(got.wire, "m.2", "S 1840277719 -", "c");
+  got = scene.next(leaf, "leaf");
+  leaf.answer(got.wire, "m.2.phase2", "S 0 -", "second c");
+  leaf.answer(got.wire, "m.0.phase2", "S 0 -", "second a");
+  scene.answered(client, "client");
+}
+
+// A server that is not there proves that nothing ran: a non-retriable part goes to the other one.
+void not_connected() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11) + "," + entry("dead", 12));
+  scene.hosts = {&leaf};
+  for (int shard = 0; shard < 4; ++shard) {
+    Client client;
+    const std::string id = "m" + std::to_string(shard);
+    client.send(id, "issue", "[{\"slice\":" + std::to_string(shard) + ",\"mass\":1}]");
+    const auto got = scene.next(leaf, "leaf");
+    leaf.answer(got.wire, id + "." + std::to_string(shard), "S 1 -", "v");
+    scene.answered(client, "client");
+  }
+  say(scene.gatherer.tally().dial_failed > 0 ? "some had been sent to the dead one first" : "NONE MET THE DEAD ONE");
+}
+
+// Once the frame's last byte is written, a broken connection proves nothing: only retriable parts go again.
+void broken_after() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  Client client;
+  client.send("m1", "issue", kOne);
+  scene.next(leaf, "leaf").wire->reset();
+  scene.answered(client, "client");
+  client.send("m2", "draft", kOne);
+  scene.next(leaf, "leaf").wire->reset();
+  const auto got = scene.next(leaf, "leaf");
+  leaf.answer(got.wire, "m2.1", "B - -", "");
+  const auto again = scene.next(leaf, "leaf");
+  leaf.answer(again.wire, "m2.1", "E - -", "");
+  scene.answered(client, "client");
+}
+
+// A client that closes has left: what is out for it is given up, and nothing more is sent.
+void client_leaves() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  Client client;
+  client.send("m", "issue", kOne);
+  scene.next(leaf, "leaf");
+  client.wire.fd.close();
+  scene.next(leaf, "leaf");
+}
+
+// The list is asked for at once, then watched; who drains gets nothing new; a body that cannot be read changes
+// nothing.
+void list_watched() {
+  Leaf a(11), b(12);
+  Discovery discovery(2);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&a, &b, &discovery};
+  const auto asked = [&] {
+    scene.until("a call", [&] { return !discovery.asked.empty(); });
+    say("discovery is asked " + discovery.asked.front());
+    discovery.asked.pop_front();
+  };
+  const auto sent = [&](const char* id) {
+    Client client;
+    client.send(id, "issue", kOne);
+    scene.until("a frame", [&] { return !a.got.empty() || !b.got.empty(); });
+    Leaf& to = a.got.empty() ? b : a;
+    const auto got = scene.next(to, &to == &a ? "A" : "B");
+    to.answer(got.wire, std::string(id) + ".1", "S 1 -", "v");
+    scene.answered(client, "client");
+  };
+  asked();
+  discovery.answer(R"({"index":4,"snapshot":false,"endpoints":[]})");
+  asked();
+  sent("m1");
+  discovery.answer(R"({"index":5,"snapshot":false,"endpoints":[)" + entry("A", 11, "draining") + "," +
+                   entry("B", 12) + "]}");
+  asked();
+  sent("m2");
+  discovery.answer(R"({"index":6,"snap)");
+  asked();
+  sent("m3");
+  discovery.answer(R"({"index":7,"snapshot":true,"endpoints":[)" + entry("A", 11) + "]}");
+  asked();
+  sent("m4");
+}
+
+// A planned stop: what comes is still taken, each answer closes its connection, and the end comes when all are out.
+void planned_stop() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  Client first, idle;
+  first.send("m1", "issue", kOne);
+  const auto got = scene.next(leaf, "leaf");
+  scene.gatherer.leave();
+  Client late;
+  late.send("m2", "issue", kOne);
+  const auto second = scene.next(leaf, "leaf");
+  leaf.answer(second.wire, "m2.1", "S 1 -", "w");
+  scene.answered(late, "late client");
+  scene.until("the idle one's end", [&] { return idle.wire.take().empty() && idle.wire.ended; });
+  say(scene.running ? "still at work" : "STOPPED WITH A MULTIGET IN HAND");
+  leaf.answer(got.wire, "m1.1", "S 1 -", "v");
+  scene.answered(first, "client");
+  scene.until("the end", [&] { return !scene.running; });
+  say("stopped");
+}
+
+// What clients get wrong never reaches a server, and a sound request after it is served.
+void bad_requests() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  for (const char* bytes : {"GET /healthz HTTP/1.1\r\n\r\n", "GET /api HTTP/1.1\r\n\r\n", "GET /other HTTP/1.1\r\n\r\n",
+                            "nonsense\r\n\r\n", "POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n",
+                            "POST /api HTTP/1.1\r\nX-Request-Id: m\r\nX-Class: odd\r\n\r\n"}) {
+    Client client;
+    client.wire.put(bytes);
+    scene.answered(client, "client");
+  }
+  Client one, two;
+  one.send("m", "issue", kOne);
+  const auto got = scene.next(leaf, "leaf");
+  two.send("m", "issue", kOne);
+  scene.answered(two, "the same id");
+  // Seven more places are left of nine; each of these takes three.
+  std::list<Client> more(4);
+  int number = 0;
+  for (Client& client : more) {
+    client.send("n" + std::to_string(number++), "issue", kTwo);
+    if (number < 4) scene.next(leaf, "leaf");
+  }
+  scene.answered(more.back(), "one too many");
+  leaf.answer(got.wire, "m.1", "S 1 -", "v");
+  scene.answered(one, "client");
+}
+
+// Shard servers that send nonsense: an answer for nothing out is passed over, lost framing ends the connection.
+void odd_frames() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  Client client;
+  client.send("m1", "issue", kOne);
+  auto got = scene.next(leaf, "leaf");
+  leaf.answer(got.wire, "m7.1", "S 1 -", "w");
+  leaf.answer(got.wire, "m1.1", "S 1 -", "v");
+  scene.answered(client, "client");
+  int number = 2;
+  for (const std::string& bytes : {std::string("\xff\xff\xff\xff"), std::string("\0\0\0\4Xwhy", 8),
+                                   std::string("\0\0\0\3" "5no", 7)}) {
+    client.send("m" + std::to_string(number++), "issue", kOne);
+    got = scene.next(leaf, "leaf");
+    got.wire->put(bytes);
+    scene.answered(client, "client");
+  }
+  say("connections opened: " + std::to_string(leaf.opened));
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  if (count != 2) return 2;
+  net::Log::open(net::Level::error, "test");
+  const std::pair<const char*, void (*)()> cases[] = {
+      {"life", life}, {"second_step", second_step}, {"not_connected", not_connected}, {"broken_after", broken_after},
+      {"client_leaves", client_leaves}, {"list_watched", list_watched}, {"planned_stop", planned_stop},
+      {"bad_requests", bad_requests}, {"odd_frames", odd_frames}};
+  for (const auto& [name, run] : cases) {
+    if (std::strcmp(name, words[1]) == 0) {
+      run();
+      return 0;
+    }
+  }
+  return 2;
+}
--- /dev/null
+++ b/tests/parser_traces.cpp
@@ -0,0 +1,339 @@
+// Traces of the parsers and of the configuration's complaints, one case a run; the kept ones are in traces/.
+// Each sample is read whole, byte by byte and split at every place: one line tells what all of these gave.
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "clients/ask.h"
+#include "config/commission.h"
+#include "list/news.h"
+#include "net/http.h"
+#include "net/ring.h"
+#include "servers/frames.h"
+
+using namespace marbledyke;
+
+namespace {
+
+std::string shown(const std::string& text) {
+  std::string out;
+  for (const char c : text) {
+    if (c == '\n') {
+      out += "\\n";
+    } else if (c < ' ' || c > '~') {
+      char hex[8];
+      std::snprintf(hex, sizeof hex, "\\x%02x", static_cast<unsigned>(static_cast<unsigned char>(c)));
+      out += hex;
+    } else {
+      out += c;
+    }
+  }
+  return out.size() > 200 ? out.substr(0, 60) + "... (" + std::to_string(text.size()) + ")" : out;
+}
+
+// Reads pieces one after the other and says what came of it.
+using Read = std::function<std::string(const std::vector<std::string>&)>;
+
+void at_every_split(const std::string& name, const std::string& bytes, const Read& read) {
+  const std::string whole = read({bytes});
+  std::string same = "same at every split";
+  for (std::size_t i = 1; i < bytes.size(); ++i) {
+    const std::string split = read({bytes.substr(0, i), bytes.substr(i)});
+    if (split != whole) same = "SPLIT AT " + std::to_string(i) + " GIVES " + split;
+  }
+  std::vector<std::string> single;
+  for (const char c : bytes) single.emplace_back(1, c);
+  if (const std::string each = read(single); each != whole) same = "BYTE BY BYTE GIVES " + each;
+  std::printf("%-22s %s; %s\n", name.c_str(), whole.c_str(), same.c_str());
+}
+
+std::string http(net::HttpReader::Kind kind, const std::vector<std::string>& pieces, bool closes) {
+  net::HttpReader reader(kind, 40);
+  std::string out;
+  for (const std::string& piece : pieces) {
+    std::string_view left = piece;
+    while (!left.empty() && reader.state() != net::HttpReader::State::bad) {
+      left.remove_prefix(reader.take(left));
+      if (reader.state() != net::HttpReader::State::done) continue;
+      const net::HttpMessage& m = reader.message();
+      out += "[" + m.first + "|" + m.second + "|" + m.third;
+      for (const auto& [key, value] : m.headers) out += "|" + key + "=" + value;
+      out += "|" + shown(m.body) + (m.stays() ? "|stays]" : "|closes]");
+      reader.restart();
+    }
+  }
+  if (closes) reader.peer_closed();
+  if (reader.state() == net::HttpReader::State::done) out += "[to the end|" + shown(reader.message().body) + "]";
+  if (reader.state() == net::HttpReader::State::bad) out += "bad " + std::to_string(reader.complaint());
+  return out.empty() ? "nothing yet" : out;
+}
+
+void http_requests() {
+  const auto sample = [](const char* name, const std::string& bytes) {
+    at_every_split(name, bytes, [](const std::vector<std::string>& pieces) {
+      return http(net::HttpReader::Kind::request, pieces, false);
+    });
+  };
+  sample("plain", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+  sample("counted", "POST /api HTTP/1.1\r\nContent-Length: 5\r\nX-A:  b c \r\n\r\nhello");
+  sample("two in a row", "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n\r\n");
+  sample("chunked", "POST /a HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0a;x=y\r\n0123456789\r\n0\r\nT: u\r\n\r\n");
+  sample("closes", "GET / HTTP/1.1\r\nConnection: Keep-Alive, CLOSE\r\n\r\n");
+  sample("old version", "GET / HTTP/1.0\r\n\r\n");
+  sample("other version", "GET / HTTP/2.0\r\n\r\n");
+  sample("no version", "GET /\r\n\r\n");
+  sample("counted too large", "POST / HTTP/1.1\r\nContent-Length: 41\r\n\r\n");
+  sample("chunks too large", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n01234567890123456789012345678901\r\n9\r\n");
+  sample("chunk size overflows", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n");
+  sample("both lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  sample("two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n");
+  sample("negative length", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n");
+  sample("space before colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n");
+  sample("folded line", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n");
+  sample("bare CR", "GET / HTTP/1.1\r\nA: b\rc\r\n\r\n");
+  sample("garbage", std::string("\x16\x03\x01\x02\x00\x01\n\n", 8));
+  net::HttpReader reader(net::HttpReader::Kind::request, 40);
+  const std::string line = "A: " + std::string(997, 'a') + "\r\n";
+  reader.take("GET / HTTP/1.1\r\n");
+  int lines = 0;
+  for (; reader.state() == net::HttpReader::State::reading && lines < 100; ++lines) reader.take(line);
+  std::printf("%-22s bad %d at line %d\n", "endless head", reader.complaint(), lines);
+}
+
+void http_answers() {
+  const auto sample = [](const char* name, const std::string& bytes, bool closes = false) {
+    at_every_split(name, bytes, [closes](const std::vector<std::string>& pieces) {
+      return http(net::HttpReader::Kind::answer, pieces, closes);
+    });
+  };
+  sample("counted", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  sample("no reason", "HTTP/1.1 503\r\nContent-Length: 0\r\n\r\n");
+  sample("interim first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  sample("ends with connection", "HTTP/1.1 200 OK\r\n\r\nabc", true);
+  sample("breaks off", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true);
+  sample("odd status", "HTTP/1.1 2x0 OK\r\n\r\n");
+}
+
+void frames() {
+  const auto sample = [](const char* name, const std::string& bytes) {
+    at_every_split(name, bytes, [](const std::vector<std::string>& pieces) {
+      servers::FrameReader reader;
+      std::string out;
+      for (const std::string& piece : pieces) {
+        std::string_view left = piece;
+        while (!left.empty() && reader.state() != servers::FrameReader::State::bad) {
+          left.remove_prefix(reader.take(left));
+          if (reader.state() != servers::FrameReader::State::done) continue;
+          out += std::string("[") + reader.frame().letter + "|" + shown(reader.frame().rest) + "]";
+          reader.restart();
+        }
+      }
+      return out + (reader.state() == servers::FrameReader::State::bad ? "bad" : "");
+    });
+  };
+  std::string call;
+  const std::size_t place = servers::begin_frame(call, '1');
+  servers::put_part(call, "9b1f03aa5c7e2d41.3", 3, "d=240", "c41e77d0");
+  servers::put_part(call, "9b1f03aa5c7e2d41.9", 9, "d=240", "c41e77d0");
+  servers::end_frame(call, place);
+  sample("a call", call);
+  sample("three", std::string("\0\0\0\1" "3" "\0\0\0\3" "2ab" "\0\0\0\2" "4-", 18));
+  sample("no letter", std::string("\0\0\0\0", 4));
+  sample("too long", std::string("\x7f\xff\xff\xff", 4));
+  sample("unknown letter", std::string("\0\0\0\1" "9", 5));
+}
+
+void answers() {
+  const std::vector<std::string> fields{"util", "rps", "waiting"};
+  const auto sample = [&](const std::string& rest) {
+    const auto a = servers::read_answer({'5', rest}, fields);
+    std::printf("%-60s ", shown(rest).c_str());
+    if (!a) {
+      std::printf("cannot be read\n");
+      return;
+    }
+    std::printf("%s %c %.0f '%s'", a->id.c_str(), a->end, a->score, shown(a->value).c_str());
+    if (a->report.count == 0) std::printf(", no report");
+    for (int i = 0; i < a->report.count; ++i) std::printf(" %g", a->report.value[static_cast<std::size_t>(i)]);
+    std::printf("\n");
+  };
+  sample("m.3 S 1840277719 util=0.61,qps=4,queue=2\nvalue\nof two lines");
+  sample("m.3 S 7 queue=2,more=1,util=0.5,qps=3\n");
+  sample("m.3 S 7 util=0.5,qps=3\nx");
+  sample("m.3 S 7 util=0.5,qps=nan,queue=1\nx");
+  sample("m.3 E 0 -\n");
+  sample("m.3 B - -\n");
+  sample("m.3 Q 0 -\n");
+  sample("m.3 S many -\n");
+  sample("m.3 S 1 - and more\n");
+  sample("no line end");
+}
+
+config::Carriage carriage() {
+  config::Carriage out;
+  out.op_types = {{"draft", 2}, {"issue", 0}};
+  out.customers = {"acme", "zeta"};
+  out.zones = {"a", "b"};
+  out.shards = 12;
+  out.cells = 3;
+  return out;
+}
+
+void asks() {
+  const auto ask = [](const char* name, const char* body, net::HttpMessage m = {}) {
+    if (m.headers.empty()) {
+      m.headers = {{"x-request-id", "9b1f"}, {"x-class", "issue"}, {"x-tenant", "zeta"}, {"x-deadline-ms", "480"}};
+    }
+    m.body = body;
+    const auto read = clients::read_ask(m, carriage());
+    if (const auto* wrong = std::get_if<clients::Complaint>(&read)) {
+      std::printf("%-18s %d %s\n", name, wrong->status, wrong->why.c_str());
+      return;
+    }
+    const clients::Ask& a = std::get<clients::Ask>(read);
+    std::printf("%-18s %s, op type %d, customer %d, %lld us, '%s'", name, a.id.c_str(), a.op_type, a.customer,
+                static_cast<long long>(a.patience.count()), shown(*a.text).c_str());
+    for (const clients::Piece& p : a.pieces) {
+      std::printf("; %d %.2f %llx %lld", p.shard, p.mass, static_cast<unsigned long long>(p.key),
+                  static_cast<long long>(p.hint.count()));
+    }
+    std::printf("\n");
+  };
+  const char* fine = R"({"slices":[{"slice":3,"mass":0.5,"micros":9000},{"slice":9,"mass":0.5,"term":"00ff"}],"filter":"c41e"})";
+  ask("fine", fine);
+  ask("unknown customer", fine, {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-tenant", "q"}, {"x-deadline-ms", "1"}}, ""});
+  ask("no id", fine, {"", "", "", {{"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
+  ask("id with a space", fine, {"", "", "", {{"x-request-id", "a b"}, {"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
+  ask("unknown op type", fine, {"", "", "", {{"x-request-id", "i"}, {"x-class", "x"}, {"x-deadline-ms", "1"}}, ""});
+  ask("no time", fine, {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}}, ""});
+  ask("time below 0", fine, {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-deadline-ms", "-5"}}, ""});
+  ask("not JSON", "{\"slices\":[");
+  ask("a list", "[]");
+  ask("no parts", R"({"slices":[]})");
+  ask("no such shard", R"({"slices":[{"slice":12,"mass":1}]})");
+  ask("half a shard", R"({"slices":[{"slice":1.5,"mass":1}]})");
+  ask("shard twice", R"({"slices":[{"slice":1,"mass":0.5},{"slice":1,"mass":0.5}]})");
+  ask("odd mass", R"({"slices":[{"slice":1,"mass":-1}]})");
+  ask("odd term", R"({"slices":[{"slice":1,"mass":1,"term":"xyz"}]})");
+  ask("filter no text", R"({"slices":[{"slice":1,"mass":1}],"filter":7})");
+  std::printf("%s\n", clients::answer_body(true, {{3, "ab\"c\\d\x01"}, {9, ""}}).c_str());
+  std::printf("%s\n", shown(clients::answer_text(503, "no\n", false, std::chrono::milliseconds(250))).c_str());
+}
+
+void news() {
+  const auto read = [](const char* text) {
+    try {
+      const list::News n = list::read_news(config::parse(text), carriage(), std::chrono::seconds(1000));
+      std::printf("version %lld%s, %d skipped", static_cast<long long>(n.index), n.whole ? ", whole" : "", n.skipped);
+      for (const list::Entry& e : n.entries) {
+        std::printf("; %s zone %d cell %d standing %d size %g started ", e.row.server.c_str(), e.row.zone,
+                    e.row.cell, static_cast<int>(e.row.standing), e.row.size);
+        e.row.started ? std::printf("%lld", static_cast<long long>(e.row.started->count())) : std::printf("-");
+      }
+      std::printf("\n");
+    } catch (const config::BadInput& wrong) {
+      std::printf("refused: %s\n", wrong.what());
+    }
+  };
+  read(R"({"index":41,"snapshot":true,"endpoints":[
+    {"name":"s1","address":"10.1.0.18:9000","zone":"a","type":"m2","group":2,"status":"ready","weight":1.5,"since_ms":0},
+    {"name":"s2","address":"10.1.0.19:9000","zone":"b","group":0,"status":"draining","weight":1.0,"since_ms":999000},
+    {"name":"s3","address":"10.1.0.20:9000","zone":"b","group":1,"status":"gone","since_ms":1000500}]})");
+  // One entry that makes no sense costs that entry, not the list.
+  read(R"({"index":42,"snapshot":false,"endpoints":[
+    {"name":"s1","address":"10.1.0.18:9000","zone":"c","group":0,"status":"ready"},
+    {"name":"s2","address":"10.1.0.18:9000","zone":"a","group":3,"status":"ready"},
+    {"name":"s3","address":"10.1.0.18:9000","zone":"a","group":0,"status":"odd"},
+    {"name":"s4","address":"10.1.0.18","zone":"a","group":0,"status":"ready"},
+    {"name":"s5","address":"10.1.0.18:9000","zone":"a","group":0,"status":"ready","since_ms":-4},
+    7,{"name":"s6","address":"10.1.0.18:9000","zone":"a","group":0,"status":"ready"}]})");
+  read(R"({"index":"42","snapshot":false,"endpoints":[]})");
+  read(R"({"index":42,"endpoints":[]})");
+  read("nothing");
+}
+
+void commissions() {
+  const std::string fine = R"({"name":"n3","listen":"127.0.0.4:9000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+    "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"index":1,"snapshot":true,"endpoints":[]},
+    "settings":{"categories":[{"name":"draft","deadline":8000000}],"customers":[{"name":"acme"}],"zones":["a"],
+      "telemetry":{"fields":["cpu"]},"novelty":{"x":[1]},
+      "specifics":{"slabs":4,"sets":2,"bundle-max":16,"second-step":[2]},
+      "limits":{"max-open":99,"streams-per-conn":100,"connect-timeout":250000,"conn-idle":15000000}}})";
+  const auto read = [](const std::string& text) {
+    try {
+      const config::Commission c = config::read_commission(text);
+      std::printf("%s, %d sockets, seed %08x, %zu op types, second step %d, %zu customers, most in hand %d\n", c.name.c_str(),
+                  c.sockets, c.seed, c.carriage.op_types.size(), c.carriage.op_types[0].second_step,
+                  c.carriage.customers.size(), c.carriage.most_in_hand);
+    } catch (const config::BadInput& wrong) {
+      std::printf("refused: %s\n", wrong.what());
+    }
+  };
+  const auto with = [&](const std::string& old, const std::string& instead) {
+    std::string text = fine;
+    text.replace(text.find(old), old.size(), instead);
+    read(text);
+  };
+  read(fine);
+  read("{");
+  read("[]");
+  with(R"("listen":"127.0.0.4:9000",)", "");
+  with("127.0.0.4:9000", "127.0.0.4:90000");
+  with("127.0.0.4:9000", "localhost:9000");
+  with(R"("seed":"8c1f30d27a5be964")", R"("seed":"8c1f30d27a5be96g")");
+  with(R"("seed":"8c1f30d27a5be964")", R"("seed":7)");
+  with(R"("sockets":1024)", R"("sockets":3)");
+  with(R"("settings")", R"("other")");
+  with(R"("slabs":4)", R"("slabs":"four")");
+  with(R"("slabs":4)", R"("slabs":0)");
+  with(R"("slabs":4,)", "");
+  with(R"("max-open":99,)", "");
+  with(R"("conn-idle":15000000)", R"("conn-idle":-1)");
+  with(R"({"name":"draft","deadline":8000000})", "");
+  with(R"("deadline":8000000)", R"("deadline":false)");
+  with(R"("known":{)", R"("known":7,"unknown":{)");
+}
+
+void rings() {
+  net::Ring ring(10'000);
+  std::string sent, taken;
+  std::size_t most = 0;
+  unsigned turn = 1;
+  for (int i = 0; i < 3000; ++i) {
+    turn = turn * 1103515245 + 12345;
+    const std::string piece((turn >> 16) % 700, static_cast<char>('a' + i % 26));
+    if (ring.put(piece)) sent += piece;
+    most = std::max(most, ring.size());
+    for (std::size_t left = (turn >> 8) % 750; left > 0 && !ring.empty();) {
+      const std::string_view front = ring.front().substr(0, left);
+      taken += front;
+      left -= front.size();
+      ring.drop(front.size());
+    }
+  }
+  while (!ring.empty()) {
+    taken += ring.front();
+    ring.drop(ring.front().size());
+  }
+  std::printf("%s, %s\n", sent == taken ? "all bytes in their order" : "BYTES DIFFER",
+              most > 5000 && most <= 10'000 ? "within its bound" : "BOUND NOT KEPT OR NOT TRIED");
+  std::printf("too much is %s\n", ring.put(std::string(10'001, 'x')) ? "TAKEN" : "refused");
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  if (count != 2) return 2;
+  const std::pair<const char*, void (*)()> cases[] = {
+      {"http_requests", http_requests}, {"http_answers", http_answers}, {"frames", frames}, {"answers", answers},
+      {"asks", asks}, {"news", news}, {"commissions", commissions}, {"rings", rings}};
+  for (const auto& [name, run] : cases) {
+    if (std::strcmp(name, words[1]) == 0) {
+      run();
+      return 0;
+    }
+  }
+  return 2;
+}
