--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -22,6 +22,7 @@
   bool in_hand = false;    // its request waits for an answer
   bool answering = false;  // an answer is being written
   bool stays = true;
+  bool parting = false;    // answered for the last time; what still comes is dropped until the client closes
 };
 
 Clients::Clients(net::Loop& loop, const config::Carriage& carriage, const sockaddr_in& listen, std::size_t most)
@@ -70,6 +71,7 @@
 
 void Clients::arrived(Caller& caller) {
   net::Ring& in = caller.stream->in();
+  if (caller.parting) return in.clear();
   while (!caller.in_hand && !caller.answering && !caller.stream->closed() && !in.empty()) {
     if (!caller.reader.begun()) caller.first_byte = loop_.now();
     in.drop(caller.reader.take(in.front()));
@@ -132,11 +134,24 @@
 void Clients::drained(Caller& caller) {
   caller.answering = false;
   caller.idle_since = loop_.now();
-  if (!caller.stays) return close(caller);
+  if (!caller.stays) return part(caller);
   arrived(caller);  // what came while the answer was made
   if (!caller.stream->closed()) caller.stream->read_on();
 }
 
+// Closed with bytes unread, a connection is reset, and the answer may be lost with it. So this side ends first and
+// the client has the time that a connection may take to come up to end as well.
+void Clients::part(Caller& caller) {
+  caller.parting = true;
+  caller.stream->in().clear();
+  caller.stream->finish();
+  const std::uint64_t number = caller.number;
+  loop_.at(loop_.now() + carriage_.connect_timeout, [this, number] {
+    if (const auto at = callers_.find(number); at != callers_.end()) close(*at->second);
+  });
+  caller.stream->read_on();
+}
+
 void Clients::close(Caller& caller) {
   caller.stream->close();
   const auto at = callers_.find(caller.number);
@@ -155,7 +170,7 @@
 Clients::Caller* Clients::longest_waiting(bool partly) {
   Caller* longest = nullptr;
   for (const auto& [number, caller] : callers_) {
-    if (caller->in_hand || caller->answering || caller->reader.begun() != partly) continue;
+    if (caller->in_hand || caller->answering || caller->parting || caller->reader.begun() != partly) continue;
     if (longest == nullptr || caller->idle_since < longest->idle_since) longest = caller.get();
   }
   return longest;
--- a/src/clients/clients.h
+++ b/src/clients/clients.h
@@ -54,6 +54,7 @@
   void request(Caller& caller);
   void say(Caller& caller, const std::string& text, bool stays);
   void drained(Caller& caller);
+  void part(Caller& caller);
   void close(Caller& caller);
 
   net::Loop& loop_;
--- a/src/list/watch.cpp
+++ b/src/list/watch.cpp
@@ -49,13 +49,13 @@
   stream_ = std::make_unique<net::Stream>(
       loop_, std::move(fd), false, 64 * 1024, 4096,
       net::Stream::Told{[this] { write(); }, [this] { read(); }, nullptr,
-                        [this](bool) {
+                        [this](bool connected) {
                           if (!calling_) return;
                           reader_.peer_closed();
                           if (reader_.state() == net::HttpReader::State::done) {
                             answered();
                           } else {
-                            failed("the connection broke");
+                            failed(connected ? "the connection broke" : "cannot connect");
                           }
                         }});
 }
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -348,10 +348,12 @@
   const auto second = scene.next(leaf, "leaf");
   leaf.answer(second.wire, "m2.1", "S 1 -", "w");
   scene.answered(late, "late client");
+  late.wire.fd.close();
   scene.until("the idle one's end", [&] { return idle.wire.take().empty() && idle.wire.ended; });
   say(scene.running ? "still at work" : "STOPPED WITH A MULTIGET IN HAND");
   leaf.answer(got.wire, "m1.1", "S 1 -", "v");
   scene.answered(first, "client");
+  first.wire.fd.close();
   scene.until("the end", [&] { return !scene.running; });
   say("stopped");
 }
@@ -361,9 +363,12 @@
   Leaf leaf(11);
   Scene scene(entry("A", 11));
   scene.hosts = {&leaf};
-  for (const char* bytes : {"GET /healthz HTTP/1.1\r\n\r\n", "GET /api HTTP/1.1\r\n\r\n", "GET /other HTTP/1.1\r\n\r\n",
-                            "nonsense\r\n\r\n", "POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n",
-                            "POST /api HTTP/1.1\r\nX-Request-Id: m\r\nX-Class: odd\r\n\r\n"}) {
+  // The body that is too large comes all the same; the answer must not be lost by closing on it.
+  const std::string too_large = "POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x');
+  for (const std::string& bytes :
+       {std::string("GET /healthz HTTP/1.1\r\n\r\n"), std::string("GET /api HTTP/1.1\r\n\r\n"),
+        std::string("GET /other HTTP/1.1\r\n\r\n"), std::string("nonsense\r\n\r\n"), too_large,
+        std::string("POST /api HTTP/1.1\r\nX-Request-Id: m\r\nX-Class: odd\r\n\r\n")}) {
     Client client;
     client.wire.put(bytes);
     scene.answered(client, "client");
