--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,9 +1,9 @@
 // marbledyke: every decision of the gatherer.
 //
-// Invoked by a host (src/gatherer/ on sockets, src/wirehost/ on the simulator's wire): it creates one Choice
-// for each instance from the operators' terms and a seed, reports in each turn what has come in, and then
-// pulls what is decided. The interface is src/choice.h, the plain types are in src/model/. The ordinary path is the design of
-// docs/design.md: place_parts() and pick().
+// Invoked by a host (src/gatherer/ on sockets, src/wirehost/ on the simulator's wire): it makes one Choice
+// for each instance from the operators' terms and a seed, reports in each turn what has come in, then pulls
+// what is decided. The interface is src/choice.h, the plain types are in src/model/. The ordinary path is the
+// design of docs/design.md: place_parts() and pick().
 //
 // Mechanisms beside the design (at most six):
 //   1. belief     a posterior of success for each replica; whether a doubtful one gets work is drawn from it
--- a/src/clients/ask.cpp
+++ b/src/clients/ask.cpp
@@ -91,16 +91,26 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 413: return "Content Too Large";
-    case 431: return "Request Header Fields Too Large";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-    case 505: return "HTTP Version Not Supported";
-    default: return "Error";
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    case 505:
+      return "HTTP Version Not Supported";
+    default:
+      return "Error";
   }
 }
 
--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -22,10 +22,11 @@
   bool in_hand = false;    // its request waits for an answer
   bool answering = false;  // an answer is being written
   bool stays = true;
-  bool parting = false;    // answered for the last time; what still comes is dropped until the client closes
+  bool parting = false;  // answered for the last time; what still comes is dropped until the client closes
 };
 
-Clients::Clients(net::Loop& loop, const config::Carriage& carriage, const sockaddr_in& listen, std::size_t most)
+Clients::Clients(net::Loop& loop, const config::Carriage& carriage, const sockaddr_in& listen,
+                 std::size_t most)
     : loop_(loop), carriage_(carriage), listener_(net::listen_on(listen)), most_(most) {
   if (!listener_) throw std::system_error(errno, std::generic_category(), "listen");
   place_ = loop_.watch(listener_.get(), *this);
@@ -139,8 +140,8 @@
   if (!caller.stream->closed()) caller.stream->read_on();
 }
 
-// Closed with bytes unread, a connection is reset, and the answer may be lost with it. So this side ends first and
-// the client has the time that a connection may take to come up to end as well.
+// Closed with bytes unread, a connection is reset, and the answer may be lost with it. So this side ends
+// first and the client has the time that a connection may take to come up to end as well.
 void Clients::part(Caller& caller) {
   caller.parting = true;
   caller.stream->in().clear();
@@ -166,7 +167,8 @@
   }
 }
 
-// The connection between requests that has been so longest; with partly, one whose request is still coming in.
+// The connection between requests that has been so longest; with partly, one whose request is still coming
+// in.
 Clients::Caller* Clients::longest_waiting(bool partly) {
   Caller* longest = nullptr;
   for (const auto& [number, caller] : callers_) {
--- a/src/config/commission.cpp
+++ b/src/config/commission.cpp
@@ -82,6 +82,7 @@
   out.most_in_hand = read.count("limits.max-open");
   out.connect_timeout = read.time("limits.connect-timeout");
   out.idle = read.time("limits.conn-idle");
+  out.tick = read.has("tick") ? read.time("tick") : Span(5ms);
   out.list_is_asked = read.has("registry-mode") && read.word("registry-mode") == "ask";
   out.ask_every = read.has("contract.ask-every") ? read.time("contract.ask-every") : Span(20s);
   return out;
@@ -108,7 +109,8 @@
   out.discovery_host = told(from, "discovery", "PROXY_DISCOVERY");
   out.discovery = address(out.discovery_host, "discovery");
   const std::string& seed = text(from, "seed");
-  if (seed.empty() || seed.size() > 16 || seed.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
+  if (seed.empty() || seed.size() > 16 ||
+      seed.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
     throw BadInput("seed: not up to 16 hex digits");
   const std::uint64_t mixed = std::stoull(seed, nullptr, 16);
   out.seed = static_cast<std::uint32_t>(mixed ^ (mixed >> 32));
--- a/src/config/commission.h
+++ b/src/config/commission.h
@@ -1,5 +1,5 @@
-// All that a gatherer is told at its start, read, checked and given defaults in this one place. A complaint names
-// the key at fault.
+// All that a gatherer is told at its start, read, checked and given defaults in this one place. A complaint
+// names the key at fault.
 #pragma once
 
 #include <netinet/in.h>
@@ -33,7 +33,8 @@
   int most_in_hand = 1;  // multigets and parts
   Span connect_timeout{};
   Span idle{};
-  Span ask_every{};  // how long the list may go unasked
+  Span tick{};       // the least time between two turns
+  Span ask_every{};            // how long the list may go unasked
   bool list_is_asked = false;  // the module decides when; else it is watched from the start
 };
 
--- a/src/config/fields.h
+++ b/src/config/fields.h
@@ -1,5 +1,5 @@
-// Reads fields of JSON values; a complaint names the field at fault. For configuration, clients, the list and the
-// adapter alike.
+// Reads fields of JSON values; a complaint names the field at fault. For configuration, clients, the list and
+// the adapter alike.
 #pragma once
 
 #include <cstdint>
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -15,7 +15,8 @@
 
 // New connections keep coming for up to 0.4 s after a planned stop begins, by the protocol.
 constexpr Span kStillComing = 400ms;
-// A watch that broke is taken up again after this: by the protocol, what is listed counts as told 2 s after a wait.
+// A watch that broke is taken up again after this: by the protocol, what is listed counts as told 2 s after a
+// wait.
 constexpr Span kListRest = 2s;
 // What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice.
 constexpr int kOwnDescriptors = 8;
@@ -26,8 +27,9 @@
 
 // The descriptors left for clients: each listed server may need a connection and its successor.
 std::size_t client_room(const config::Commission& commission) {
-  const std::size_t listed =
-      commission.known.is_object() && commission.known.contains("endpoints") ? commission.known["endpoints"].size() : 0;
+  const std::size_t listed = commission.known.is_object() && commission.known.contains("endpoints")
+                                 ? commission.known["endpoints"].size()
+                                 : 0;
   const int left = commission.sockets - kOwnDescriptors - 2 * static_cast<int>(listed);
   return static_cast<std::size_t>(std::max(left, commission.sockets / 2));
 }
@@ -65,18 +67,30 @@
   if (!commission.carriage.list_is_asked) watch_.ask(true);
 }
 
+bool Gatherer::any_news() const {
+  return woken_ || !servers_.ended.empty() || !servers_.probed.empty() || !clients_.asked.empty() ||
+         !clients_.left.empty() || !news_.empty() || refusals_ > 0 || !second_steps_.empty();
+}
+
+// Turns fall on multiples of the stated tick, as the module was written for: what comes within one is decided
+// together, and parts for one server then share a call, which costs the server about as much as a part. Harm:
+// everything waits half a tick more on average.
 bool Gatherer::turn() {
-  const bool news = woken_ || !servers_.ended.empty() || !servers_.probed.empty() || !clients_.asked.empty() ||
-                    !clients_.left.empty() || !news_.empty() || refusals_ > 0 || !second_steps_.empty();
-  loop_.gather(!news);
-  hand_over();
-  carry_out();
-  clients_.bury();
-  if (leaving_ && !accepting_) {
-    clients_.close_idle();
-    return !(open_ == 0 && clients_.empty());
+  if (any_news() && !turn_at_) {
+    const Span tick = commission_.carriage.tick;
+    turn_at_ = (loop_.now() / tick + 1) * tick;
+    loop_.at(*turn_at_, [] {});  // ends the wait then
   }
-  return true;
+  loop_.gather();
+  if (turn_at_ && loop_.now() >= *turn_at_) {
+    turn_at_.reset();
+    hand_over();
+    carry_out();
+  }
+  clients_.bury();
+  if (!leaving_ || accepting_) return true;
+  clients_.close_idle();
+  return open_ > 0 || !clients_.empty();
 }
 
 void Gatherer::leave() {
@@ -129,9 +143,10 @@
   choice_.list_opens(news.whole, false);
   for (const list::Entry& entry : news.entries) {
     choice_.list_row(entry.row);
-    MD_LOG(debug, "list: " << entry.row.server << (entry.row.standing == Standing::up         ? " is up"
-                                                   : entry.row.standing == Standing::draining ? " drains"
-                                                                                              : " is gone"));
+    MD_LOG(debug, "list: " << entry.row.server
+                           << (entry.row.standing == Standing::up         ? " is up"
+                               : entry.row.standing == Standing::draining ? " drains"
+                                                                          : " is gone"));
   }
   choice_.list_closes();
   if (!news.entries.empty())
@@ -139,8 +154,8 @@
                                   << (news.whole ? " servers" : " changes"));
 }
 
-// The module's ids: eight digits of the multiget's number, four zeros, and four of the part's place, 0 for the
-// multiget itself.
+// The module's ids: eight digits of the multiget's number, four zeros, and four of the part's place, 0 for
+// the multiget itself.
 Rid Gatherer::part_id(const Rid& multiget, std::size_t piece) const {
   Rid out = multiget;
   char digits[5];
@@ -321,13 +336,14 @@
 
 void Gatherer::report() {
   const servers::Tally& t = servers_.tally();
-  MD_LOG(info, "taken " << done_.sent << ", answered " << done_.answered << ", pushed back " << done_.pushed_back
-                        << ", failed " << done_.failed << ", client left " << done_.left << ", no room "
-                        << done_.no_room << ", second steps " << done_.second_steps << "; in hand " << open_
-                        << "; calls " << t.calls << ", sends " << t.sends << ", probes " << t.probes
-                        << ", connections opened " << t.opened << ", held " << servers_.connections() << " and "
-                        << clients_.size() << " of clients; not connected " << t.dial_failed << ", dropped "
-                        << t.dropped << ", expired " << t.expired << ", odd frames " << t.odd_frames
+  MD_LOG(info, "taken " << done_.sent << ", answered " << done_.answered << ", pushed back "
+                        << done_.pushed_back << ", failed " << done_.failed << ", client left " << done_.left
+                        << ", no room " << done_.no_room << ", second steps " << done_.second_steps
+                        << "; in hand " << open_ << "; calls " << t.calls << ", sends " << t.sends
+                        << ", probes " << t.probes << ", connections opened " << t.opened << ", held "
+                        << servers_.connections() << " and " << clients_.size()
+                        << " of clients; not connected " << t.dial_failed << ", dropped " << t.dropped
+                        << ", expired " << t.expired << ", odd frames " << t.odd_frames
                         << "; broken invariants " << net::broken_invariants());
 }
 
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -1,5 +1,5 @@
-// The gatherer's turn: what is ready is gathered, handed to the module in one go, and what it decides is carried
-// out. Keeps the multigets in hand and their ids; decides nothing.
+// The gatherer's turn: what is ready is gathered, handed to the module in one go, and what it decides is
+// carried out. Keeps the multigets in hand and their ids; decides nothing.
 #pragma once
 
 #include <array>
@@ -43,7 +43,8 @@
     std::string value;
   };
 
-  // A multiget from its request to the end of its last send. Its id and its parts' differ in their last digits.
+  // A multiget from its request to the end of its last send. Its id and its parts' differ in their last
+  // digits.
   struct InHand {
     Rid id;
     std::uint64_t caller = 0;  // 0 once it has its final answer or its client has left
@@ -60,11 +61,13 @@
   };
 
   struct Taken {
-    std::uint64_t sent = 0, answered = 0, pushed_back = 0, failed = 0, left = 0, no_room = 0, second_steps = 0;
+    std::uint64_t sent = 0, answered = 0, pushed_back = 0, failed = 0, left = 0, no_room = 0,
+                  second_steps = 0;
   };
 
   Rid part_id(const Rid& multiget, std::size_t piece) const;
   InHand* hand_of(const Rid& part, std::size_t* piece = nullptr);
+  bool any_news() const;
   void hand_over();
   void carry_out();
   void take(clients::Asked& asked);
@@ -93,6 +96,7 @@
   std::vector<list::News> news_;
   int refusals_ = 0;
   bool woken_ = true;
+  std::optional<Span> turn_at_;  // when what is ready will be handed over
   bool leaving_ = false, accepting_ = true;
   Taken done_;
 };
--- a/src/list/news.cpp
+++ b/src/list/news.cpp
@@ -24,8 +24,7 @@
   const auto address = net::parse_address(config::text(from, "address"));
   if (!address) throw BadInput("address: not an address with a port");
   out.address = *address;
-  const auto zone =
-      std::find(carriage.zones.begin(), carriage.zones.end(), config::text(from, "zone"));
+  const auto zone = std::find(carriage.zones.begin(), carriage.zones.end(), config::text(from, "zone"));
   if (zone == carriage.zones.end()) throw BadInput("zone: unknown");
   out.row.zone = static_cast<int>(zone - carriage.zones.begin());
   const std::int64_t cell = config::whole_or(from, "group", 0);
--- a/src/list/news.h
+++ b/src/list/news.h
@@ -24,8 +24,8 @@
   int skipped = 0;  // entries that made no sense
 };
 
-// unix_start is the Unix time at which the gatherer's own clock stood at zero. Throws config::BadInput where the
-// whole makes no sense; single entries that do not are left out and counted.
+// unix_start is the Unix time at which the gatherer's own clock stood at zero. Throws config::BadInput where
+// the whole makes no sense; single entries that do not are left out and counted.
 News read_news(const config::json& from, const config::Carriage& carriage, Span unix_start);
 
 }  // namespace marbledyke::list
--- a/src/list/watch.cpp
+++ b/src/list/watch.cpp
@@ -9,8 +9,8 @@
 
 using namespace std::chrono_literals;
 
-// The protocol's figures: an answer is deemed told 6 s after a call, or 2 s after the end of its wait, which is
-// 60 s at most.
+// The protocol's figures: an answer is deemed told 6 s after a call, or 2 s after the end of its wait, which
+// is 60 s at most.
 constexpr Span kPlainPatience = 6s;
 constexpr Span kAfterWait = 2s;
 constexpr Span kLongestWait = 60s;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -33,8 +33,8 @@
 
 bool Throttle::allows() {
   using std::chrono::steady_clock;
-  const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
-                                  steady_clock::now().time_since_epoch()).count();
+  const std::int64_t second =
+      std::chrono::duration_cast<std::chrono::seconds>(steady_clock::now().time_since_epoch()).count();
   if (second == second_) {
     ++left_out;
     return false;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,4 +1,5 @@
-// Log lines on standard error through iostreams, kept or dropped by level; and the count of broken invariants.
+// Log lines on standard error through iostreams, kept or dropped by level; and the count of broken
+// invariants.
 #pragma once
 
 #include <cstdint>
@@ -33,8 +34,8 @@
 
 }  // namespace marbledyke::net
 
-#define MD_LOG(level, text)                                                     \
-  do {                                                                          \
-    if (::marbledyke::net::Log::keeps(::marbledyke::net::Level::level))         \
+#define MD_LOG(level, text)                                                                        \
+  do {                                                                                             \
+    if (::marbledyke::net::Log::keeps(::marbledyke::net::Level::level))                            \
       ::marbledyke::net::Log::line(::marbledyke::net::Level::level) << text << '\n' << std::flush; \
   } while (false)
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -49,15 +49,12 @@
   return timer;
 }
 
-void Loop::gather(bool wait) {
-  int patience = 0;
-  if (wait) {
-    patience = -1;
-    read_clock();
-    if (!timers_.empty()) {
-      const Span left = std::max(timers_.begin()->first.first - now_, Span::zero());
-      patience = static_cast<int>(std::min<std::int64_t>((left.count() + 999) / 1000, 60'000));
-    }
+void Loop::gather() {
+  int patience = -1;
+  read_clock();
+  if (!timers_.empty()) {
+    const Span left = std::max(timers_.begin()->first.first - now_, Span::zero());
+    patience = static_cast<int>(std::min<std::int64_t>((left.count() + 999) / 1000, 60'000));
   }
   std::array<epoll_event, 256> events;
   const int count = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), patience);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,5 +1,5 @@
-// The event loop: epoll, edge-triggered, with timers. Watchers are told what is ready; who wants a turn of its
-// own after that sets it from outside.
+// The event loop: epoll, edge-triggered, with timers. Watchers are told what is ready; who wants a turn of
+// its own after that sets it from outside.
 #pragma once
 
 #include <cstdint>
@@ -37,7 +37,7 @@
   void cancel(const Timer& timer) { timers_.erase(timer); }
 
   // Waits for what is ready, until the next timer at the latest, and tells it.
-  void gather(bool wait);
+  void gather();
 
  private:
   struct Place {
--- a/src/net/ring.h
+++ b/src/net/ring.h
@@ -18,9 +18,7 @@
   bool full() const { return size_ == most_; }
 
   // The first unbroken run of what is held.
-  std::string_view front() const {
-    return {bytes_.get() + start_, std::min(size_, room_ - start_)};
-  }
+  std::string_view front() const { return {bytes_.get() + start_, std::min(size_, room_ - start_)}; }
 
   void drop(std::size_t count) {
     size_ -= count;
@@ -31,7 +29,8 @@
     }
   }
 
-  // An unbroken run to write to, of at least one byte unless the ring is full; filled() says how much was used.
+  // An unbroken run to write to, of at least one byte unless the ring is full; filled() says how much was
+  // used.
   std::span<char> gap() {
     if (size_ == room_) grow(size_ + 1);
     const std::size_t end = (start_ + size_) % std::max<std::size_t>(room_, 1);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -56,7 +56,8 @@
   return fd;
 }
 
-Stream::Stream(Loop& loop, Descriptor fd, bool connected, std::size_t most_in, std::size_t most_out, Told told)
+Stream::Stream(Loop& loop, Descriptor fd, bool connected, std::size_t most_in, std::size_t most_out,
+               Told told)
     : loop_(loop),
       fd_(std::move(fd)),
       place_(loop.watch(fd_.get(), *this)),
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -27,9 +27,9 @@
  public:
   // What its owner is told; the owner may close the stream, but not destroy it, while it is being told.
   struct Told {
-    std::function<void()> opened;             // a connect came through
-    std::function<void()> arrived;            // there are new bytes in in()
-    std::function<void()> drained;            // all of out() is written
+    std::function<void()> opened;               // a connect came through
+    std::function<void()> arrived;              // there are new bytes in in()
+    std::function<void()> drained;              // all of out() is written
     std::function<void(bool connected)> ended;  // the peer closed, or the connection failed
   };
 
@@ -43,10 +43,10 @@
   bool connected() const { return connected_; }
   bool closed() const { return !fd_; }
 
-  void flush();       // writes what the socket takes; tells drained once all is out
-  void read_on();     // reads after the owner had left the ring full
-  void close();       // at once, without being told
-  void finish();      // no more from this side; what the peer still sends is dropped
+  void flush();    // writes what the socket takes; tells drained once all is out
+  void read_on();  // reads after the owner had left the ring full
+  void close();    // at once, without being told
+  void finish();   // no more from this side; what the peer still sends is dropped
 
   void ready(bool readable, bool writable) override;
 
--- a/src/servers/frames.cpp
+++ b/src/servers/frames.cpp
@@ -20,8 +20,12 @@
 // The same value goes by one name in the terms and by another in reports.
 std::string_view plain_name(std::string_view name) {
   static constexpr std::array<std::pair<std::string_view, std::string_view>, 6> kNames{
-      {{"inflight", "active"}, {"queue", "waiting"}, {"util", "cpu"},
-       {"latency_ms", "avg_ms"}, {"qps", "rps"}, {"eps", "err_rps"}}};
+      {{"inflight", "active"},
+       {"queue", "waiting"},
+       {"util", "cpu"},
+       {"latency_ms", "avg_ms"},
+       {"qps", "rps"},
+       {"eps", "err_rps"}}};
   for (const auto& [reported, termed] : kNames) {
     if (name == reported) return termed;
   }
@@ -107,7 +111,8 @@
   for (std::size_t i = 0; i < 4; ++i) out[place + i] = static_cast<char>(length >> (24 - 8 * i) & 0xff);
 }
 
-void put_part(std::string& out, std::string_view id, int shard, std::string_view list, std::string_view text) {
+void put_part(std::string& out, std::string_view id, int shard, std::string_view list,
+              std::string_view text) {
   out.append(id).append(" ").append(std::to_string(shard)).append(" ").append(list).append(" ");
   out.append(std::to_string(text.size())).append("\n").append(text);
 }
--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -40,9 +40,9 @@
   FrameReader reader;
   std::map<std::string, Out> outs;  // by wire id
   std::deque<Pending> pending;
-  Pending writing;                          // the one whose bytes are in the ring; letter 0: none
-  std::map<std::string, Span> given_up;     // wire ids that may still be answered here, and until when
-  bool trusted = true;  // false once it kept silent over something it had been given
+  Pending writing;                       // the one whose bytes are in the ring; letter 0: none
+  std::map<std::string, Span> given_up;  // wire ids that may still be answered here, and until when
+  bool trusted = true;                   // false once it kept silent over something it had been given
   bool idle_armed = false;
   Span last_heard{}, last_used{};
   bool probing = false, probe_written = false;
@@ -119,8 +119,8 @@
   pump(*link);
 }
 
-// A connection that is open, or opening, has room, and has not kept silent. One on which an earlier send of the
-// same part may still be answered is passed over, since the answers could not be told apart.
+// A connection that is open, or opening, has room, and has not kept silent. One on which an earlier send of
+// the same part may still be answered is passed over, since the answers could not be told apart.
 Servers::Link* Servers::link_for(const std::string& server, const std::vector<Errand>& errands) {
   const auto place = places_.find(server);
   if (place == places_.end()) return nullptr;
@@ -173,8 +173,8 @@
   return to;
 }
 
-// Writes the next frame. One frame at a time is in the ring, so that what is withdrawn before its turn is never
-// written, and so that each frame's last byte is told apart.
+// Writes the next frame. One frame at a time is in the ring, so that what is withdrawn before its turn is
+// never written, and so that each frame's last byte is told apart.
 void Servers::pump(Link& link) {
   while (link.stream->connected() && !link.stream->closed() && link.writing.letter == 0 &&
          !link.pending.empty()) {
@@ -193,7 +193,8 @@
         Link::Out& out = link.outs.at(id);
         out.stage = Link::Stage::writing;
         const auto left = std::max<std::int64_t>((out.errand.not_past - loop_.now()) / 1ms, 1);
-        put_part(bytes, id, out.errand.shard, "d=" + std::to_string(left) + out.errand.more, *out.errand.text);
+        put_part(bytes, id, out.errand.shard, "d=" + std::to_string(left) + out.errand.more,
+                 *out.errand.text);
       }
       if (!link.writing.ids.empty()) tally_.calls += 1;
     } else if (link.writing.letter == '2') {
@@ -329,9 +330,10 @@
   rest(link);
 }
 
-// A machine that vanished leaves its connections open and silent. Once one has kept silent over something it was
-// given for as long as a new one may take to come up, new sends go over a new one, which tells a vanished machine
-// by not coming up: proof that they never ran. Harm: a server that is only slow gets a few more connections.
+// A machine that vanished leaves its connections open and silent. Once one has kept silent over something it
+// was given for as long as a new one may take to come up, new sends go over a new one, which tells a vanished
+// machine by not coming up: proof that they never ran. Harm: a server that is only slow gets a few more
+// connections.
 void Servers::doubt(Link& link, Span since) {
   if (link.last_heard < since && loop_.now() - since >= carriage_.connect_timeout) link.trusted = false;
 }
@@ -344,8 +346,8 @@
   probed.push_back({link.server, fate, loop_.now() - link.probe_at, report});
 }
 
-// A link with nothing to do is closed before the server may close it: what is written after that is reset, and
-// may have run as far as anyone can tell. One that is not trusted is closed at once.
+// A link with nothing to do is closed before the server may close it: what is written after that is reset,
+// and may have run as far as anyone can tell. One that is not trusted is closed at once.
 void Servers::rest(Link& link) {
   if (link.stream->closed() || !link.outs.empty() || !link.pending.empty() || link.writing.letter != 0 ||
       link.probing || link.dial_expiry)
--- a/src/servers/servers.h
+++ b/src/servers/servers.h
@@ -22,7 +22,7 @@
 struct Errand {
   Rid part;
   int send = 0;
-  std::string id;    // the part's id on the wire
+  std::string id;  // the part's id on the wire
   int shard = 0;
   std::string more;  // what its list holds beside the time left
   std::shared_ptr<const std::string> text;
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -1,6 +1,6 @@
-// Traces of the whole program on loopback sockets, among stand-ins for clients, shard servers and discovery that
-// live in this same thread; one case a run, the kept ones are in traces/. Each step waits for what it expects, so
-// the machine's speed does not matter.
+// Traces of the whole program on loopback sockets, among stand-ins for clients, shard servers and discovery
+// that live in this same thread; one case a run, the kept ones are in traces/. Each step waits for what it
+// expects, so the machine's speed does not matter.
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -152,7 +152,8 @@
     return text.find("\r\n\r\n") != std::string::npos;
   }
   std::string answer() {
-    std::string out = text.substr(9, 3) + (text.find("Connection: close") != std::string::npos ? " closing" : "") +
+    std::string out = text.substr(9, 3) +
+                      (text.find("Connection: close") != std::string::npos ? " closing" : "") +
                       (text.find("Retry-After") != std::string::npos ? " come back" : "") + " " +
                       text.substr(text.find("\r\n\r\n") + 4);
     while (!out.empty() && out.back() == '\n') out.pop_back();
@@ -172,7 +173,8 @@
   explicit Scene(const std::string& entries)
       : commission(config::read_commission(
             R"({"name":"n0","listen":")" + address(1) + R"(","discovery":")" + address(2) +
-            R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" + entries +
+            R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" +
+            entries +
             R"(]},"settings":{"categories":[
               {"name":"draft","deadline":60000000,"objective":30000000,"effect":"repeatable"},
               {"name":"issue","deadline":60000000,"objective":30000000,"effect":"once"}],
@@ -193,6 +195,7 @@
         std::printf("WAITED IN VAIN for %s\n", what);
         std::exit(1);
       }
+      gatherer.loop().at(gatherer.loop().now() + 20ms, [] {});  // the stand-ins get their turn too
       running = gatherer.turn() && running;
     }
   }
@@ -264,7 +267,8 @@
     leaf.answer(got.wire, id + "." + std::to_string(shard), "S 1 -", "v");
     scene.answered(client, "client");
   }
-  say(scene.gatherer.tally().dial_failed > 0 ? "some had been sent to the dead one first" : "NONE MET THE DEAD ONE");
+  say(scene.gatherer.tally().dial_failed > 0 ? "some had been sent to the dead one first"
+                                             : "NONE MET THE DEAD ONE");
 }
 
 // Once the frame's last byte is written, a broken connection proves nothing: only retriable parts go again.
@@ -297,8 +301,8 @@
   scene.next(leaf, "leaf");
 }
 
-// The list is asked for at once, then watched; who drains gets nothing new; a body that cannot be read changes
-// nothing.
+// The list is asked for at once, then watched; who drains gets nothing new; a body that cannot be read
+// changes nothing.
 void list_watched() {
   Leaf a(11), b(12);
   Discovery discovery(2);
@@ -334,7 +338,8 @@
   sent("m4");
 }
 
-// A planned stop: what comes is still taken, each answer closes its connection, and the end comes when all are out.
+// A planned stop: what comes is still taken, each answer closes its connection, and the end comes when all
+// are out.
 void planned_stop() {
   Leaf leaf(11);
   Scene scene(entry("A", 11));
@@ -364,7 +369,8 @@
   Scene scene(entry("A", 11));
   scene.hosts = {&leaf};
   // The body that is too large comes all the same; the answer must not be lost by closing on it.
-  const std::string too_large = "POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x');
+  const std::string too_large =
+      "POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x');
   for (const std::string& bytes :
        {std::string("GET /healthz HTTP/1.1\r\n\r\n"), std::string("GET /api HTTP/1.1\r\n\r\n"),
         std::string("GET /other HTTP/1.1\r\n\r\n"), std::string("nonsense\r\n\r\n"), too_large,
@@ -390,7 +396,8 @@
   scene.answered(one, "client");
 }
 
-// Shard servers that send nonsense: an answer for nothing out is passed over, lost framing ends the connection.
+// Shard servers that send nonsense: an answer for nothing out is passed over, lost framing ends the
+// connection.
 void odd_frames() {
   Leaf leaf(11);
   Scene scene(entry("A", 11));
@@ -403,7 +410,9 @@
   scene.answered(client, "client");
   int number = 2;
   for (const std::string& bytes : {std::string("\xff\xff\xff\xff"), std::string("\0\0\0\4Xwhy", 8),
-                                   std::string("\0\0\0\3" "5no", 7)}) {
+                                   std::string("\0\0\0\3"
+                                               "5no",
+                                               7)}) {
     client.send("m" + std::to_string(number++), "issue", kOne);
     got = scene.next(leaf, "leaf");
     got.wire->put(bytes);
@@ -417,10 +426,15 @@
 int main(int count, char** words) {
   if (count != 2) return 2;
   net::Log::open(net::Level::error, "test");
-  const std::pair<const char*, void (*)()> cases[] = {
-      {"life", life}, {"second_step", second_step}, {"not_connected", not_connected}, {"broken_after", broken_after},
-      {"client_leaves", client_leaves}, {"list_watched", list_watched}, {"planned_stop", planned_stop},
-      {"bad_requests", bad_requests}, {"odd_frames", odd_frames}};
+  const std::pair<const char*, void (*)()> cases[] = {{"life", life},
+                                                      {"second_step", second_step},
+                                                      {"not_connected", not_connected},
+                                                      {"broken_after", broken_after},
+                                                      {"client_leaves", client_leaves},
+                                                      {"list_watched", list_watched},
+                                                      {"planned_stop", planned_stop},
+                                                      {"bad_requests", bad_requests},
+                                                      {"odd_frames", odd_frames}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
       run();
--- a/tests/parser_traces.cpp
+++ b/tests/parser_traces.cpp
@@ -65,7 +65,8 @@
     }
   }
   if (closes) reader.peer_closed();
-  if (reader.state() == net::HttpReader::State::done) out += "[to the end|" + shown(reader.message().body) + "]";
+  if (reader.state() == net::HttpReader::State::done)
+    out += "[to the end|" + shown(reader.message().body) + "]";
   if (reader.state() == net::HttpReader::State::bad) out += "bad " + std::to_string(reader.complaint());
   return out.empty() ? "nothing yet" : out;
 }
@@ -79,13 +80,17 @@
   sample("plain", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
   sample("counted", "POST /api HTTP/1.1\r\nContent-Length: 5\r\nX-A:  b c \r\n\r\nhello");
   sample("two in a row", "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n\r\n");
-  sample("chunked", "POST /a HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0a;x=y\r\n0123456789\r\n0\r\nT: u\r\n\r\n");
+  sample("chunked",
+         "POST /a HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0a;x=y\r\n0123456789\r\n0\r\nT: "
+         "u\r\n\r\n");
   sample("closes", "GET / HTTP/1.1\r\nConnection: Keep-Alive, CLOSE\r\n\r\n");
   sample("old version", "GET / HTTP/1.0\r\n\r\n");
   sample("other version", "GET / HTTP/2.0\r\n\r\n");
   sample("no version", "GET /\r\n\r\n");
   sample("counted too large", "POST / HTTP/1.1\r\nContent-Length: 41\r\n\r\n");
-  sample("chunks too large", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n01234567890123456789012345678901\r\n9\r\n");
+  sample(
+      "chunks too large",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n01234567890123456789012345678901\r\n9\r\n");
   sample("chunk size overflows", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n");
   sample("both lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
   sample("two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n");
@@ -139,10 +144,18 @@
   servers::put_part(call, "9b1f03aa5c7e2d41.9", 9, "d=240", "c41e77d0");
   servers::end_frame(call, place);
   sample("a call", call);
-  sample("three", std::string("\0\0\0\1" "3" "\0\0\0\3" "2ab" "\0\0\0\2" "4-", 18));
+  sample("three", std::string("\0\0\0\1"
+                              "3"
+                              "\0\0\0\3"
+                              "2ab"
+                              "\0\0\0\2"
+                              "4-",
+                              18));
   sample("no letter", std::string("\0\0\0\0", 4));
   sample("too long", std::string("\x7f\xff\xff\xff", 4));
-  sample("unknown letter", std::string("\0\0\0\1" "9", 5));
+  sample("unknown letter", std::string("\0\0\0\1"
+                                       "9",
+                                       5));
 }
 
 void answers() {
@@ -156,7 +169,8 @@
     }
     std::printf("%s %c %.0f '%s'", a->id.c_str(), a->end, a->score, shown(a->value).c_str());
     if (a->report.count == 0) std::printf(", no report");
-    for (int i = 0; i < a->report.count; ++i) std::printf(" %g", a->report.value[static_cast<std::size_t>(i)]);
+    for (int i = 0; i < a->report.count; ++i)
+      std::printf(" %g", a->report.value[static_cast<std::size_t>(i)]);
     std::printf("\n");
   };
   sample("m.3 S 1840277719 util=0.61,qps=4,queue=2\nvalue\nof two lines");
@@ -184,7 +198,8 @@
 void asks() {
   const auto ask = [](const char* name, const char* body, net::HttpMessage m = {}) {
     if (m.headers.empty()) {
-      m.headers = {{"x-request-id", "9b1f"}, {"x-class", "issue"}, {"x-tenant", "zeta"}, {"x-deadline-ms", "480"}};
+      m.headers = {
+          {"x-request-id", "9b1f"}, {"x-class", "issue"}, {"x-tenant", "zeta"}, {"x-deadline-ms", "480"}};
     }
     m.body = body;
     const auto read = clients::read_ask(m, carriage());
@@ -201,14 +216,23 @@
     }
     std::printf("\n");
   };
-  const char* fine = R"({"slices":[{"slice":3,"mass":0.5,"micros":9000},{"slice":9,"mass":0.5,"term":"00ff"}],"filter":"c41e"})";
+  const char* fine =
+      R"({"slices":[{"slice":3,"mass":0.5,"micros":9000},{"slice":9,"mass":0.5,"term":"00ff"}],"filter":"c41e"})";
   ask("fine", fine);
-  ask("unknown customer", fine, {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-tenant", "q"}, {"x-deadline-ms", "1"}}, ""});
+  ask("unknown customer", fine,
+      {"",
+       "",
+       "",
+       {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-tenant", "q"}, {"x-deadline-ms", "1"}},
+       ""});
   ask("no id", fine, {"", "", "", {{"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
-  ask("id with a space", fine, {"", "", "", {{"x-request-id", "a b"}, {"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
-  ask("unknown op type", fine, {"", "", "", {{"x-request-id", "i"}, {"x-class", "x"}, {"x-deadline-ms", "1"}}, ""});
+  ask("id with a space", fine,
+      {"", "", "", {{"x-request-id", "a b"}, {"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
+  ask("unknown op type", fine,
+      {"", "", "", {{"x-request-id", "i"}, {"x-class", "x"}, {"x-deadline-ms", "1"}}, ""});
   ask("no time", fine, {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}}, ""});
-  ask("time below 0", fine, {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-deadline-ms", "-5"}}, ""});
+  ask("time below 0", fine,
+      {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-deadline-ms", "-5"}}, ""});
   ask("not JSON", "{\"slices\":[");
   ask("a list", "[]");
   ask("no parts", R"({"slices":[]})");
@@ -219,18 +243,21 @@
   ask("odd term", R"({"slices":[{"slice":1,"mass":1,"term":"xyz"}]})");
   ask("filter no text", R"({"slices":[{"slice":1,"mass":1}],"filter":7})");
   std::printf("%s\n", clients::answer_body(true, {{3, "ab\"c\\d\x01"}, {9, ""}}).c_str());
-  std::printf("%s\n", shown(clients::answer_text(503, "no\n", false, std::chrono::milliseconds(250))).c_str());
+  std::printf("%s\n",
+              shown(clients::answer_text(503, "no\n", false, std::chrono::milliseconds(250))).c_str());
 }
 
 void news() {
   const auto read = [](const char* text) {
     try {
       const list::News n = list::read_news(config::parse(text), carriage(), std::chrono::seconds(1000));
-      std::printf("version %lld%s, %d skipped", static_cast<long long>(n.index), n.whole ? ", whole" : "", n.skipped);
+      std::printf("version %lld%s, %d skipped", static_cast<long long>(n.index), n.whole ? ", whole" : "",
+                  n.skipped);
       for (const list::Entry& e : n.entries) {
         std::printf("; %s zone %d cell %d standing %d size %g started ", e.row.server.c_str(), e.row.zone,
                     e.row.cell, static_cast<int>(e.row.standing), e.row.size);
-        e.row.started ? std::printf("%lld", static_cast<long long>(e.row.started->count())) : std::printf("-");
+        e.row.started ? std::printf("%lld", static_cast<long long>(e.row.started->count()))
+                      : std::printf("-");
       }
       std::printf("\n");
     } catch (const config::BadInput& wrong) {
@@ -255,7 +282,8 @@
 }
 
 void commissions() {
-  const std::string fine = R"({"name":"n3","listen":"127.0.0.4:9000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+  const std::string fine =
+      R"({"name":"n3","listen":"127.0.0.4:9000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
     "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"index":1,"snapshot":true,"endpoints":[]},
     "settings":{"categories":[{"name":"draft","deadline":8000000}],"customers":[{"name":"acme"}],"zones":["a"],
       "telemetry":{"fields":["cpu"]},"novelty":{"x":[1]},
@@ -264,9 +292,9 @@
   const auto read = [](const std::string& text) {
     try {
       const config::Commission c = config::read_commission(text);
-      std::printf("%s, %d sockets, seed %08x, %zu op types, second step %d, %zu customers, most in hand %d\n", c.name.c_str(),
-                  c.sockets, c.seed, c.carriage.op_types.size(), c.carriage.op_types[0].second_step,
-                  c.carriage.customers.size(), c.carriage.most_in_hand);
+      std::printf("%s, %d sockets, seed %08x, %zu op types, second step %d, %zu customers, most in hand %d\n",
+                  c.name.c_str(), c.sockets, c.seed, c.carriage.op_types.size(),
+                  c.carriage.op_types[0].second_step, c.carriage.customers.size(), c.carriage.most_in_hand);
     } catch (const config::BadInput& wrong) {
       std::printf("refused: %s\n", wrong.what());
     }
@@ -326,9 +354,14 @@
 
 int main(int count, char** words) {
   if (count != 2) return 2;
-  const std::pair<const char*, void (*)()> cases[] = {
-      {"http_requests", http_requests}, {"http_answers", http_answers}, {"frames", frames}, {"answers", answers},
-      {"asks", asks}, {"news", news}, {"commissions", commissions}, {"rings", rings}};
+  const std::pair<const char*, void (*)()> cases[] = {{"http_requests", http_requests},
+                                                      {"http_answers", http_answers},
+                                                      {"frames", frames},
+                                                      {"answers", answers},
+                                                      {"asks", asks},
+                                                      {"news", news},
+                                                      {"commissions", commissions},
+                                                      {"rings", rings}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
       run();
