--- a/src/config/commission.cpp
+++ b/src/config/commission.cpp
@@ -82,7 +82,6 @@
   out.most_in_hand = read.count("limits.max-open");
   out.connect_timeout = read.time("limits.connect-timeout");
   out.idle = read.time("limits.conn-idle");
-  out.tick = read.has("tick") ? read.time("tick") : Span(5ms);
   out.list_is_asked = read.has("registry-mode") && read.word("registry-mode") == "ask";
   out.ask_every = read.has("contract.ask-every") ? read.time("contract.ask-every") : Span(20s);
   return out;
--- a/src/config/commission.h
+++ b/src/config/commission.h
@@ -33,7 +33,6 @@
   int most_in_hand = 1;  // multigets and parts
   Span connect_timeout{};
   Span idle{};
-  Span tick{};       // the least time between two turns
   Span ask_every{};            // how long the list may go unasked
   bool list_is_asked = false;  // the module decides when; else it is watched from the start
 };
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -72,18 +72,10 @@
          !clients_.left.empty() || !news_.empty() || refusals_ > 0 || !second_steps_.empty();
 }
 
-// Turns fall on multiples of the stated tick, as the module was written for: what comes within one is decided
-// together, and parts for one server then share a call, which costs the server about as much as a part. Harm:
-// everything waits half a tick more on average.
 bool Gatherer::turn() {
-  if (any_news() && !turn_at_) {
-    const Span tick = commission_.carriage.tick;
-    turn_at_ = (loop_.now() / tick + 1) * tick;
-    loop_.at(*turn_at_, [] {});  // ends the wait then
-  }
+  if (any_news()) loop_.at(loop_.now(), [] {});  // what carrying out has brought up does not wait
   loop_.gather();
-  if (turn_at_ && loop_.now() >= *turn_at_) {
-    turn_at_.reset();
+  if (any_news()) {
     hand_over();
     carry_out();
   }
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -96,7 +96,6 @@
   std::vector<list::News> news_;
   int refusals_ = 0;
   bool woken_ = true;
-  std::optional<Span> turn_at_;  // when what is ready will be handed over
   bool leaving_ = false, accepting_ = true;
   Taken done_;
 };
