A connection silent over a part for the connect time-out takes no new sends

Until now a connection lost trust only when a send on it ended. doubt() also compared with <, so a frame written as the connection opened was never doubted (the trace silent_connection showed it).

--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -126,7 +126,11 @@
   if (place == places_.end()) return nullptr;
   const auto room = static_cast<std::size_t>(carriage_.parts_a_connection);
   for (const auto& [number, link] : links_) {
-    if (link->server != server || !link->trusted || !same(link->address, place->second.address)) continue;
+    if (link->server != server) continue;
+    for (const auto& [id, out] : link->outs) {
+      if (out.stage == Link::Stage::written) doubt(*link, out.written_at);
+    }
+    if (!link->trusted || !same(link->address, place->second.address)) continue;
     if (errands.empty() ? link->probing : link->outs.size() + errands.size() > room) continue;
     std::erase_if(link->given_up, [&](const auto& one) { return one.second < loop_.now(); });
     const bool clash = std::any_of(errands.begin(), errands.end(), [&](const Errand& errand) {
@@ -331,11 +335,11 @@
 }
 
 // A machine that vanished leaves its connections open and silent. Once one has kept silent over something it
-// was given for as long as a new one may take to come up, new sends go over a new one, which tells a vanished
-// machine by not coming up: proof that they never ran. Harm: a server that is only slow gets a few more
-// connections.
+// was given for as long as a new one may take to come up, new sends go over another, which tells a vanished
+// machine by not coming up: proof that they never ran, without which non-retriable parts are lost. It is
+// trusted again when it speaks. Harm: a server that is only slow gets a few more connections.
 void Servers::doubt(Link& link, Span since) {
-  if (link.last_heard < since && loop_.now() - since >= carriage_.connect_timeout) link.trusted = false;
+  if (link.last_heard <= since && loop_.now() - since >= carriage_.connect_timeout) link.trusted = false;
 }
 
 void Servers::end_probe(Link& link, Fate fate, LoadReport report) {
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -170,7 +170,7 @@
 }
 
 struct Scene {
-  explicit Scene(const std::string& entries)
+  explicit Scene(const std::string& entries, const std::string& connect_timeout = "20000000")
       : commission(config::read_commission(
             R"({"name":"n0","listen":")" + address(1) + R"(","discovery":")" + address(2) +
             R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" +
@@ -181,7 +181,8 @@
             "zones":["a"],"telemetry":{"fields":["cpu"],"how":"on_probe"},"registry-mode":"ask","replicas-of-me":1,
             "specifics":{"slabs":4,"sets":1,"width":1,"bundle-max":16,"overhead":80000,"second-step":[2,0],
               "class-floor":[1,1],"complete-from":[1,1]},
-            "limits":{"max-open":9,"streams-per-conn":100,"connect-timeout":20000000,"conn-idle":60000000,
+            "limits":{"max-open":9,"streams-per-conn":100,"connect-timeout":)" +
+            connect_timeout + R"(,"conn-idle":60000000,
               "attempts-cap":3,"cancel":true,"retry-after":true,"max-retry-after":1000000},
             "contract":{"ask-every":10000000}}})")),
         gatherer(commission) {}
@@ -289,6 +290,26 @@
   scene.answered(client, "client");
 }
 
+// A connection that has kept silent over a part for the connect time-out takes no new ones until it speaks
+// again: a vanished machine leaves its connections open, and a new one would prove that nothing ran.
+void silent_connection() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11), "300000");
+  scene.hosts = {&leaf};
+  Client one, two, three;
+  one.send("m1", "issue", kOne);
+  const auto first = scene.next(leaf, "leaf");
+  const auto sent = std::chrono::steady_clock::now();
+  scene.until("silence", [&] { return std::chrono::steady_clock::now() > sent + 400ms; });
+  two.send("m2", "issue", kOne);
+  const auto second = scene.next(leaf, "leaf");
+  say(second.wire == first.wire ? "THE SILENT CONNECTION IS USED" : "over a new connection");
+  leaf.answer(first.wire, "m1.1", "S 1 -", "v");
+  scene.answered(one, "client");
+  three.send("m3", "issue", kOne);
+  say(scene.next(leaf, "leaf").wire == first.wire ? "over the first connection" : "OVER ANOTHER CONNECTION");
+}
+
 // A client that closes has left: what is out for it is given up, and nothing more is sent.
 void client_leaves() {
   Leaf leaf(11);
@@ -430,6 +451,7 @@
                                                       {"second_step", second_step},
                                                       {"not_connected", not_connected},
                                                       {"broken_after", broken_after},
+                                                      {"silent_connection", silent_connection},
                                                       {"client_leaves", client_leaves},
                                                       {"list_watched", list_watched},
                                                       {"planned_stop", planned_stop},
