--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -1,6 +1,7 @@
 #include "servers/servers.h"
 
 #include <algorithm>
+#include <array>
 
 #include "net/log.h"
 
@@ -84,6 +85,8 @@
       Link::Out out;
       out.expiry = loop_.at(errand.not_past, [this, key] { give_up(key, Fate::expired); });
       out.errand = std::move(errand);
+      MD_LOG(debug, "send " << out.errand.send << " of " << id << " to " << server << " on connection "
+                            << link->number);
       out_.emplace(key, std::make_pair(link->number, id));
       link->outs.emplace(id, std::move(out));
       call.ids.push_back(id);
@@ -304,6 +307,12 @@
 }
 
 void Servers::end(const Errand& errand, Fate fate, PartAnswer answer) {
+  static constexpr std::array<const char*, 8> kNames{"returned",    "app_error", "pushed_back", "expired",
+                                                     "dial_failed", "dropped",   "revoked",     "unused"};
+  if (fate != Fate::returned)
+    MD_LOG(debug, "send " << errand.send << " of " << errand.id << " ended as "
+                          << kNames[static_cast<std::size_t>(fate)] << " after "
+                          << (loop_.now() - errand.pulled) / 1ms << " ms");
   tally_.dial_failed += fate == Fate::dial_failed ? 1 : 0;
   tally_.dropped += fate == Fate::dropped ? 1 : 0;
   tally_.expired += fate == Fate::expired ? 1 : 0;
