bad_requests tells an orderly end from a reset

With part() taken out the trace had still passed, since loopback delivers the answer before the reset; it now prints how the connection ended and fails then.

--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -35,6 +35,7 @@
 struct Wire {
   net::Descriptor fd;
   bool ended = false;
+  bool cut = false;  // by a reset
 
   std::string take() {
     char bytes[4096];
@@ -44,7 +45,8 @@
       if (got > 0) {
         out.append(bytes, static_cast<std::size_t>(got));
       } else {
-        ended = got == 0 || (errno != EAGAIN && errno != EINTR);
+        cut = got < 0 && errno != EAGAIN && errno != EINTR;
+        ended = got == 0 || cut;
         break;
       }
     }
@@ -70,7 +72,7 @@
   Wire* accept() {
     net::Descriptor fd = net::accept_from(listener.get());
     if (!fd) return nullptr;
-    wires.push_back({std::move(fd), false});
+    wires.push_back({std::move(fd)});
     return &wires.back();
   }
   net::Descriptor listener;
@@ -140,7 +142,7 @@
 };
 
 struct Client {
-  Client() : wire{net::start_connect(*net::parse_address(address(1))), false} {}
+  Client() : wire{net::start_connect(*net::parse_address(address(1)))} {}
   void send(const std::string& id, const std::string& op_type, const std::string& slices,
             const std::string& more = "") {
     const std::string body = "{\"slices\":" + slices + ",\"filter\":\"f00d\"}";
@@ -399,7 +401,12 @@
         std::string("POST /api HTTP/1.1\r\nX-Request-Id: m\r\nX-Class: odd\r\n\r\n")}) {
     Client client;
     client.wire.put(bytes);
-    scene.answered(client, "client");
+    scene.until("an answer", [&] { return client.answered(); });
+    const bool closing = client.text.find("Connection: close") != std::string::npos;
+    say("client gets " + client.answer());
+    if (!closing) continue;
+    scene.until("its end", [&] { return client.wire.take().empty() && client.wire.ended; });
+    say(client.wire.cut ? "CUT BY A RESET" : "ended in order");
   }
   Client one, two;
   one.send("m", "issue", kOne);
