--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -125,6 +125,7 @@
     mg.over = true;
     --open_;
     done_.left += 1;
+    MD_LOG(debug, "multiget " << mg.wire_id << " of caller " << caller << " ends: the client left");
     choice_.client_left(id);
     give_back(mg);
   }
@@ -197,6 +198,7 @@
   ++open_;
   done_.sent += 1;
   held_ += 1;
+  MD_LOG(debug, "multiget " << mg.wire_id << " of caller " << asked.caller << " taken");
   choice_.multiget_taken({id, static_cast<double>(number), ask.op_type, ask.customer,
                           static_cast<int>(mg.pieces.size()), asked.sent_by + ask.patience});
   hand_parts(mg);
@@ -296,6 +298,10 @@
     done_.failed += 1;
     clients_.turn_away(caller, 504, "failed\n");
   }
+  MD_LOG(debug, "multiget " << mg.wire_id << " of caller " << caller << " ends: "
+                            << (verdict.ending == Ending::answer      ? "answered"
+                                : verdict.ending == Ending::push_back ? "pushed back"
+                                                                      : "failed"));
   give_back(mg);
 }
 
