--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -46,6 +46,7 @@
 
 Gatherer::Gatherer(const config::Commission& commission)
     : commission_(commission),
+      discovery_(commission.discovery),
       unix_start_((loop_.read_clock(), unix_now() - loop_.now())),
       choice_(commission.terms, commission.seed),
       servers_(loop_, commission.carriage, [this] { return clients_.make_room(); }),
@@ -96,6 +97,26 @@
   });
 }
 
+void Gatherer::reload(const config::Commission& fresh) {
+  Choice(fresh.terms, fresh.seed);  // checks them
+  const auto waits = [](bool differs, const std::string& key) {
+    if (differs) MD_LOG(warning, "configuration: " << key << " is another one now; that waits for the next start");
+  };
+  waits(fresh.name != commission_.name, "name");
+  waits(!net::same(fresh.listen, commission_.listen), "listen");
+  waits(fresh.sockets != commission_.sockets, "limits.sockets");
+  for (const auto* terms : {&fresh.terms, &commission_.terms}) {
+    const Terms& others = terms == &fresh.terms ? commission_.terms : fresh.terms;
+    for (const auto& [name, term] : *terms) {
+      const auto at = others.find(name);
+      if (at == others.end() || (terms == &fresh.terms && at->second != term)) waits(true, "settings." + name);
+    }
+  }
+  MD_LOG(info, "configuration read again; discovery is at " << fresh.discovery_host);
+  if (!net::same(fresh.discovery, discovery_)) watch_.move(fresh.discovery, fresh.discovery_host);
+  discovery_ = fresh.discovery;
+}
+
 // ---- hand over ----
 
 void Gatherer::hand_over() {
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -27,6 +27,9 @@
   bool turn();
   // A planned stop: what comes for a while yet is still taken, what was taken is finished.
   void leave();
+  // The configuration read anew: what can change while running is taken, the rest is named in the log.
+  // Throws, and changes nothing, where the terms make no sense.
+  void reload(const config::Commission& fresh);
   net::Loop& loop() { return loop_; }
   void report();  // a log line of what has been done
   const servers::Tally& tally() const { return servers_.tally(); }
@@ -79,6 +82,7 @@
   void list_came(list::News&& news);
 
   const config::Commission& commission_;
+  sockaddr_in discovery_;  // the one of the newest configuration
   net::Loop loop_;
   Span unix_start_;
   Choice choice_;
--- a/src/list/watch.cpp
+++ b/src/list/watch.cpp
@@ -20,7 +20,9 @@
 
 Watch::Watch(net::Loop& loop, const config::Commission& commission, Span unix_start, Told told)
     : loop_(loop),
-      commission_(commission),
+      carriage_(commission.carriage),
+      address_(commission.discovery),
+      host_(commission.discovery_host),
       unix_start_(unix_start),
       told_(std::move(told)),
       reader_(net::HttpReader::Kind::answer, kMostList) {}
@@ -34,6 +36,19 @@
   call();
 }
 
+// The call that is out is given up with the old place: it may never be answered, or with what is old news by
+// then. The versions of one place say nothing at another, so the whole list is asked for.
+void Watch::move(const sockaddr_in& address, const std::string& host) {
+  address_ = address;
+  host_ = host;
+  index_.reset();
+  if (patience_) loop_.cancel(*patience_);
+  patience_.reset();
+  calling_ = false;
+  if (stream_) stream_->close();
+  ask(true);
+}
+
 void Watch::call() {
   calling_ = true;
   const Span patience = wait_ > Span::zero() ? wait_ + kAfterWait : kPlainPatience;
@@ -43,7 +58,7 @@
   });
   reader_.restart();
   if (stream_ && !stream_->closed()) return write();
-  net::Descriptor fd = net::start_connect(commission_.discovery);
+  net::Descriptor fd = net::start_connect(address_);
   if (!fd) return failed("cannot connect");
   last_ = std::move(stream_);
   stream_ = std::make_unique<net::Stream>(
@@ -65,7 +80,7 @@
   if (!whole_ && index_) {
     target += "?index=" + std::to_string(*index_) + "&wait=" + std::to_string(wait_ / 1ms);
   }
-  stream_->out().put("GET " + target + " HTTP/1.1\r\nHost: " + commission_.discovery_host + "\r\n\r\n");
+  stream_->out().put("GET " + target + " HTTP/1.1\r\nHost: " + host_ + "\r\n\r\n");
   stream_->flush();
 }
 
@@ -89,7 +104,7 @@
   if (!message.stays()) stream_->close();
   News news;
   try {
-    news = read_news(config::parse(message.body), commission_.carriage, unix_start_);
+    news = read_news(config::parse(message.body), carriage_, unix_start_);
   } catch (const config::BadInput& wrong) {
     MD_LOG(warning, "discovery: " << wrong.what());
     return failed("the list cannot be read");
@@ -102,7 +117,7 @@
   told_.news(std::move(news));
   if (watching_) {
     whole_ = false;
-    wait_ = std::min(commission_.carriage.ask_every, kLongestWait);
+    wait_ = std::min(carriage_.ask_every, kLongestWait);
     call();
   }
 }
--- a/src/list/watch.h
+++ b/src/list/watch.h
@@ -24,7 +24,8 @@
 
   void held(std::int64_t index) { index_ = index; }  // the version of the list that is held
   void ask(bool watching);  // the changes since, and then each as it comes; or the whole list once
-  bool calling() const { return calling_; }
+  // Another place to ask, from now on; what it says first is the whole list.
+  void move(const sockaddr_in& address, const std::string& host);
 
  private:
   void call();
@@ -34,7 +35,9 @@
   void failed(const char* why);
 
   net::Loop& loop_;
-  const config::Commission& commission_;
+  const config::Carriage& carriage_;
+  sockaddr_in address_;
+  std::string host_;
   Span unix_start_;
   Told told_;
   std::unique_ptr<net::Stream> stream_, last_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -33,6 +33,10 @@
   return out;
 }
 
+bool same(const sockaddr_in& a, const sockaddr_in& b) {
+  return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
+}
+
 Descriptor listen_on(const sockaddr_in& address) {
   Descriptor fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) return fd;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -17,6 +17,7 @@
 
 // An IPv4 address and port, from "1.2.3.4:90".
 std::optional<sockaddr_in> parse_address(std::string_view text);
+bool same(const sockaddr_in& a, const sockaddr_in& b);
 
 // All of these are non-blocking. An empty descriptor leaves the reason in errno.
 Descriptor listen_on(const sockaddr_in& address);
--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -6,16 +6,9 @@
 #include "net/log.h"
 
 namespace marbledyke::servers {
-namespace {
 
 using namespace std::chrono_literals;
 
-bool same(const sockaddr_in& a, const sockaddr_in& b) {
-  return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
-}
-
-}  // namespace
-
 // One connection to a shard server.
 struct Servers::Link {
   enum class Stage { queued, writing, written };
@@ -133,7 +126,7 @@
     for (const auto& [id, out] : link->outs) {
       if (out.stage == Link::Stage::written) doubt(*link, out.written_at);
     }
-    if (!link->trusted || !same(link->address, place->second.address)) continue;
+    if (!link->trusted || !net::same(link->address, place->second.address)) continue;
     if (errands.empty() ? link->probing : link->outs.size() + errands.size() > room) continue;
     std::erase_if(link->given_up, [&](const auto& one) { return one.second < loop_.now(); });
     const bool clash = std::any_of(errands.begin(), errands.end(), [&](const Errand& errand) {
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -361,6 +361,33 @@
   sent("m4");
 }
 
+// A new configuration names another place for the list while a call waits at the old one: it is asked at
+// once, from the beginning, and what it does not name is gone.
+void list_moved() {
+  Leaf a(11), b(12);
+  Discovery old(2), moved(3);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&a, &b, &old, &moved};
+  scene.until("a call", [&] { return !old.asked.empty(); });
+  say("the old one is asked " + old.asked.front());
+  config::Commission fresh = scene.commission;
+  fresh.discovery = *net::parse_address(address(3));
+  fresh.discovery_host = address(3);
+  scene.gatherer.reload(fresh);
+  scene.until("a call", [&] { return !moved.asked.empty(); });
+  say("the new one is asked " + moved.asked.front());
+  scene.until("the end of the old call", [&] { return old.wires.front().ended; });
+  moved.asked.clear();
+  moved.answer(R"({"index":1,"snapshot":true,"endpoints":[)" + entry("B", 12) + "]}");
+  scene.until("a call", [&] { return !moved.asked.empty(); });
+  say("the new one is asked " + moved.asked.front());
+  Client client;
+  client.send("m", "issue", kOne);
+  const auto got = scene.next(b, "B");
+  b.answer(got.wire, "m.1", "S 1 -", "v");
+  scene.answered(client, "client");
+}
+
 // A planned stop: what comes is still taken, each answer closes its connection, and the end comes when all
 // are out.
 void planned_stop() {
@@ -462,6 +489,7 @@
                                                       {"silent_connection", silent_connection},
                                                       {"client_leaves", client_leaves},
                                                       {"list_watched", list_watched},
+                                                      {"list_moved", list_moved},
                                                       {"planned_stop", planned_stop},
                                                       {"bad_requests", bad_requests},
                                                       {"odd_frames", odd_frames}};
