A step's end waits out the tick of a send under way; non-retriable parts on connections apart

Checked: with the log at debug no send leaves after its multiget's end and no id is taken twice. Ruled out: new connections, vanished machines, client ids used twice. Cause: connections keep no order among each other, so the copy is read behind the end of its step. Now the end of a step with a send younger than the tick, still out or given up, waits for the rest of the tick. Also: a connection's end took with it whatever was out there, so one spoilt answer lost other clients' non-retriable parts; these now go where nothing else is out. A frame not gone on with ends its connection after the connect time-out, an answer for nothing out there at once, a report that makes no sense no longer spoils its answer. Nothing is kept of servers that the list no longer has. Tests: copy_under_way, apart, stalled_frame, let_go, answers, odd_frames fail without it.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -229,13 +229,15 @@
   }
 }
 
-// Ends the connection that can best be spared: one that has had its last answer, one that has never said
-// anything, one between requests, and at last one whose request is still coming in; of each, the one that has
-// been so longest.
+// Ends the connection that can best be spared: one that has had its last answer, one that has said nothing for
+// as long as a connection may take to come up, one between requests, one whose request is still coming in, and
+// at last one that has only just come; of each, the one that has been so longest.
 bool Clients::make_room() {
   Caller* best = nullptr;
-  const auto spared = [](const Caller& caller) {
-    return std::make_pair(caller.parting ? 0 : !caller.spoken ? 1 : caller.reader.begun() ? 3 : 2, caller.since);
+  const auto spared = [this](const Caller& caller) {
+    const bool fresh = loop_.now() < caller.since + carriage_.connect_timeout;
+    const int order = caller.parting ? 0 : !caller.spoken ? (fresh ? 4 : 1) : caller.reader.begun() ? 3 : 2;
+    return std::make_pair(order, caller.since);
   };
   for (const auto& [number, caller] : callers_) {
     if (caller->in_hand || caller->answering) continue;
--- a/src/config/commission.cpp
+++ b/src/config/commission.cpp
@@ -68,7 +68,8 @@
     const std::string at = "categories." + std::to_string(i) + ".";
     if (!read.has(at + "name") && !read.has(at + "deadline")) break;
     const std::string second = "specifics.second-step." + std::to_string(i);
-    out.op_types.push_back({read.word(at + "name"), read.has(second) ? read.count(second, 0) : 0});
+    out.op_types.push_back({read.word(at + "name"), read.has(second) ? read.count(second, 0) : 0,
+                            !read.has(at + "effect") || read.word(at + "effect") == "once"});
     const Span timeout = read.time(at + "deadline");
     out.longest_timeout = std::max(out.longest_timeout, timeout);
     const Span budget = read.has(at + "objective") ? read.time(at + "objective") : timeout;
@@ -84,6 +85,7 @@
   out.parts_a_call = read.count("specifics.bundle-max", 1, 1024);
   out.parts_a_connection = read.count("limits.streams-per-conn");
   out.most_in_hand = read.count("limits.max-open");
+  out.tick = read.has("tick") ? read.time("tick") : Span(5ms);
   out.connect_timeout = read.time("limits.connect-timeout");
   out.idle = read.time("limits.conn-idle");
   out.list_is_asked = read.has("registry-mode") && read.word("registry-mode") == "ask";
--- a/src/config/commission.h
+++ b/src/config/commission.h
@@ -18,6 +18,7 @@
 struct OpName {
   std::string name;
   int second_step = 0;  // parts that a first answer is followed by
+  bool once = false;    // what may have run is never sent again
 };
 
 // What carrying parts and answers takes: figures of the operators' terms, none of our own.
@@ -33,6 +34,7 @@
   int most_in_hand = 1;  // multigets and parts
   Span longest_timeout{};  // of the op types' route timeouts
   Span longest_budget{};   // and of their latency budgets
+  Span tick{};  // what happened less than this apart may be seen in another order
   Span connect_timeout{};
   Span idle{};
   Span ask_every{};            // how long the list may go unasked
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -256,6 +256,8 @@
   if (!net::must_hold(mg != nullptr, "a send that ends belongs to a multiget in hand")) return;
   Piece& piece = mg->pieces[at];
   mg->out -= 1;
+  if (ended.fate == Fate::revoked || ended.fate == Fate::expired || ended.fate == Fate::dropped)
+    mg->last_given = std::max(mg->last_given, loop_.now() - ended.elapsed);
   if (ended.fate == Fate::returned && !piece.returned && !mg->over) {
     piece.returned = true;
     piece.score = ended.score;
@@ -275,7 +277,7 @@
 // ---- carry out ----
 
 void Gatherer::carry_out() {
-  while (const auto verdict = choice_.next_verdict()) answered(*verdict);
+  while (const auto verdict = choice_.next_verdict()) decided(*verdict);
   while (const auto gone = choice_.next_withdrawal()) servers_.withdraw(gone->part, gone->send);
   std::map<std::string, std::vector<servers::Errand>> calls;
   while (const auto send = choice_.next_send()) {
@@ -293,10 +295,12 @@
       errand.more = ",from=" + mg->from + (mg->first_whole ? ",whole=1" : ",whole=0");
     }
     errand.shard = piece.shard;
+    errand.once = commission_.carriage.op_types[static_cast<std::size_t>(mg->op_type)].once;
     errand.text = mg->text;
     errand.not_past = send->not_past;
     errand.pulled = loop_.now();
     mg->out += 1;
+    mg->last_send = loop_.now();
     calls[std::string(send->server)].push_back(std::move(errand));
   }
   for (auto& [server, errands] : calls) servers_.call(server, std::move(errands));
@@ -306,11 +310,23 @@
   while (const auto wake = choice_.next_wake()) loop_.at(loop_.now() + *wake, [this] { woken_ = true; });
 }
 
-// Every final answer passes here, once for each multiget.
-void Gatherer::answered(const Verdict& verdict) {
-  InHand* found = hand_of(verdict.multiget);
-  if (!net::must_hold(found != nullptr && !found->over, "one final answer for each multiget")) return;
-  InHand& mg = *found;
+// Every step's end passes here, once for each. Connections keep no order among each other: a send that was
+// written a moment ago may be read behind the end of its step, and then comes after the final answer though it
+// left before it. So the end of a step with such a send waits for the rest of a tick. That befalls multigets
+// with a second copy just sent; harm: these are answered so much later.
+void Gatherer::decided(const Verdict& verdict) {
+  InHand* mg = hand_of(verdict.multiget);
+  if (!net::must_hold(mg != nullptr && !mg->over, "one final answer for each multiget")) return;
+  const Span clear = std::max(mg->out > 0 ? mg->last_send : mg->last_given, mg->last_given) +
+                     commission_.carriage.tick;
+  if (loop_.now() >= clear) return answered(*mg, verdict);
+  loop_.at(clear, [this, verdict] {
+    InHand* late = hand_of(verdict.multiget);
+    if (late != nullptr && !late->over) answered(*late, verdict);
+  });
+}
+
+void Gatherer::answered(InHand& mg, const Verdict& verdict) {
   const config::OpName& op = commission_.carriage.op_types[static_cast<std::size_t>(mg.op_type)];
   if (verdict.ending == Ending::answer && mg.step == 1 && op.second_step > 0) {
     return second_step(mg, verdict.whole);
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -57,6 +57,8 @@
     bool first_whole = false;
     bool over = false;
     int out = 0;  // sends
+    Span last_send = Span::min() / 2;   // when the newest was pulled
+    Span last_given = Span::min() / 2;  // and the newest that was given up without an answer
     std::size_t first_of_step = 0;
     std::vector<Piece> pieces;  // of both steps
     std::shared_ptr<const std::string> text;
@@ -76,7 +78,8 @@
   void take(clients::Asked& asked);
   void hand_parts(InHand& mg);
   void sent_back(servers::Ended& ended);
-  void answered(const Verdict& verdict);
+  void decided(const Verdict& verdict);
+  void answered(InHand& mg, const Verdict& verdict);
   void second_step(InHand& mg, bool whole);
   void give_back(InHand& mg);
   void list_came(list::News&& news);
--- a/src/servers/frames.cpp
+++ b/src/servers/frames.cpp
@@ -93,8 +93,7 @@
   const auto read = number(score);
   if (!read && out.end == 'S') return std::nullopt;
   out.score = read.value_or(0);
-  out.report = read_report(cut(line, ' '), report_fields);
-  if (!line.empty()) return std::nullopt;
+  out.report = read_report(line, report_fields);  // one that makes no sense is none, and spoils nothing
   out.value = frame.rest.substr(end + 1);
   return out;
 }
--- a/src/servers/frames.h
+++ b/src/servers/frames.h
@@ -25,6 +25,7 @@
   enum class State { reading, done, bad };
   std::size_t take(std::string_view bytes);
   State state() const { return state_; }
+  bool begun() const { return head_ > 0; }
   Frame& frame() { return frame_; }
   void restart() { *this = FrameReader(); }
 
--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -6,6 +6,11 @@
 #include "net/log.h"
 
 namespace marbledyke::servers {
+namespace {
+
+constexpr int kFewLinks = 4;  // to one server, beyond which none is opened to keep parts apart
+
+}  // namespace
 
 using namespace std::chrono_literals;
 
@@ -32,12 +37,12 @@
   sockaddr_in address{};
   std::unique_ptr<net::Stream> stream;
   FrameReader reader;
+  bool reading_on = false;          // a frame has begun and its rest is being waited for
   std::map<std::string, Out> outs;  // by wire id
   std::deque<Pending> pending;
   Pending writing;                       // the one whose bytes are in the ring; letter 0: none
   std::map<std::string, Span> given_up;  // wire ids that may still be answered here, and until when
   bool trusted = true;                   // false once it kept silent over something it had been given
-  bool idle_armed = false;
   Span last_heard{}, last_used{};
   bool probing = false, probe_written = false;
   Span probe_at{};
@@ -50,12 +55,28 @@
 Servers::~Servers() = default;
 
 void Servers::listed(const list::News& news) {
-  if (news.whole) {
-    for (auto& [name, place] : places_) place.up = false;
-  }
+  // Nothing is kept of a server that the list no longer has, but for what is out on its connections: under
+  // new ids all day, servers would otherwise fill the memory.
+  if (news.whole) places_.clear();
   for (const list::Entry& entry : news.entries) {
-    places_[entry.row.server] = {entry.address, entry.row.standing == Standing::up};
+    if (entry.row.standing == Standing::gone) {
+      places_.erase(entry.row.server);
+    } else {
+      places_[entry.row.server] = {entry.address, entry.row.standing == Standing::up};
+    }
   }
+  std::vector<Link*> unwanted;
+  for (const auto& [number, link] : links_) {
+    if (!wanted(*link)) unwanted.push_back(link.get());
+  }
+  for (Link* link : unwanted) rest(*link);
+}
+
+// New sends may go over it: it has not kept silent, and its server is up and still there.
+bool Servers::wanted(const Link& link) const {
+  const auto place = places_.find(link.server);
+  return link.trusted && place != places_.end() && place->second.up &&
+         net::same(link.address, place->second.address);
 }
 
 void Servers::call(const std::string& server, std::vector<Errand> errands) {
@@ -116,25 +137,41 @@
 }
 
 // A connection that is open, or opening, has room, and has not kept silent. One on which an earlier send of
-// the same part may still be answered is passed over, since the answers could not be told apart.
+// the same part may still be answered is passed over, since the answers could not be told apart. What ends a
+// connection, a spoilt answer or a server that closes it, takes all with it that is out there. For what may be
+// sent again that is a delay, but a non-retriable part is lost for another's fault; so such a part goes where
+// nothing else is out, and nothing joins it, as long as a server has few connections of ours. Harm: about one
+// more connection a server.
 Servers::Link* Servers::link_for(const std::string& server, const std::vector<Errand>& errands) {
   const auto place = places_.find(server);
   if (place == places_.end()) return nullptr;
   const auto room = static_cast<std::size_t>(carriage_.parts_a_connection);
+  const auto once = [](const Errand& errand) { return errand.once; };
+  const bool careful = std::any_of(errands.begin(), errands.end(), once);
+  Link* shared = nullptr;
+  int held = 0;
   for (const auto& [number, link] : links_) {
     if (link->server != server) continue;
     for (const auto& [id, out] : link->outs) {
       if (out.stage == Link::Stage::written) doubt(*link, out.written_at);
     }
     if (!link->trusted || !net::same(link->address, place->second.address)) continue;
+    ++held;
     if (errands.empty() ? link->probing : link->outs.size() + errands.size() > room) continue;
     std::erase_if(link->given_up, [&](const auto& one) { return one.second < loop_.now(); });
     const bool clash = std::any_of(errands.begin(), errands.end(), [&](const Errand& errand) {
       return link->given_up.contains(errand.id) || link->outs.contains(errand.id);
     });
-    if (!clash) return link.get();
+    if (clash) continue;
+    const bool apart = careful ? link->outs.empty()
+                               : std::none_of(link->outs.begin(), link->outs.end(),
+                                              [&](const auto& out) { return once(out.second.errand); });
+    if (apart || errands.empty()) return link.get();
+    if (shared == nullptr) shared = link.get();
   }
-  return dial(server);
+  if (shared != nullptr && held >= kFewLinks) return shared;
+  Link* fresh = dial(server);
+  return fresh != nullptr ? fresh : shared;
 }
 
 Servers::Link* Servers::dial(const std::string& server) {
@@ -184,7 +221,8 @@
     const std::size_t place = begin_frame(bytes, link.writing.letter);
     if (link.writing.letter == '1') {
       // What waited for the connection while the list took the server out is not written any more.
-      const bool up = places_.find(link.server)->second.up;
+      const auto listed_as = places_.find(link.server);
+      const bool up = listed_as != places_.end() && listed_as->second.up;
       std::erase_if(link.writing.ids, [&](const std::string& id) {
         if (!up && link.outs.contains(id)) settle(link, id, Fate::unused);
         return !link.outs.contains(id);
@@ -223,7 +261,7 @@
       out.written_at = loop_.now();
       if (!out.over) continue;
       link.pending.push_front({'2', {id}});
-      link.given_up[id] = out.errand.not_past;
+      link.given_up[id] = out.errand.not_past + carriage_.longest_timeout;
       link.outs.erase(id);
     }
   } else if (frame.letter == '4') {
@@ -242,15 +280,34 @@
       tally_.odd_frames += 1;
       return drop(link, "a frame that cannot be read");
     }
-    if (link.reader.state() != FrameReader::State::done) continue;
+    if (link.reader.state() != FrameReader::State::done) {
+      expect_more(link);
+      continue;
+    }
     Frame frame = std::move(link.reader.frame());
     link.reader.restart();
     heard(link, frame);
   }
 }
 
+// A frame that has begun and is not gone on with is spoilt, and so is its connection: what is out there ends
+// at once instead of at a time limit. Harm: a server that stands still in the middle of a frame loses it.
+void Servers::expect_more(Link& link) {
+  if (std::exchange(link.reading_on, true)) return;
+  const std::uint64_t number = link.number;
+  loop_.at(loop_.now() + carriage_.connect_timeout, [this, number] {
+    const auto at = links_.find(number);
+    if (at == links_.end()) return;
+    Link& late = *at->second;
+    late.reading_on = false;
+    if (!late.reader.begun()) return;
+    if (loop_.now() < late.last_heard + carriage_.connect_timeout) return expect_more(late);
+    tally_.odd_frames += 1;
+    drop(late, "a frame that is not gone on with");
+  });
+}
+
 void Servers::heard(Link& link, Frame& frame) {
-  static net::Throttle throttle;
   if (frame.letter == '5') {
     auto answer = read_answer(frame, carriage_.report_fields);
     if (!answer) {
@@ -261,9 +318,10 @@
     if (at == link.outs.end() || at->second.stage != Link::Stage::written) {
       // The answer to a part that was given up may have crossed the frame that says so.
       if (link.given_up.erase(answer->id) > 0) return;
+      // Any other is one part's answer under another's id, or comes twice: what is read here no longer fits
+      // what was asked, and who waits here would wait in vain.
       tally_.odd_frames += 1;
-      if (throttle.allows()) MD_LOG(warning, link.server << ": an answer for a part that is not out there");
-      return;
+      return drop(link, "an answer for a part that is not out there");
     }
     const Fate fate = answer->end == 'S'   ? Fate::returned
                       : answer->end == 'E' ? Fate::app_error
@@ -328,7 +386,7 @@
     end(out.errand, fate);
   } else {
     doubt(link, out.written_at);
-    link.given_up[id] = out.errand.not_past;
+    link.given_up[id] = out.errand.not_past + carriage_.longest_timeout;
     settle(link, id, fate);
     link.pending.push_back({'2', {id}});
     pump(link);
@@ -358,7 +416,7 @@
   if (link.stream->closed() || !link.outs.empty() || !link.pending.empty() || link.writing.letter != 0 ||
       link.probing || link.dial_expiry)
     return;
-  if (!link.trusted) return drop(link, "it kept silent");
+  if (!wanted(link)) return drop(link, link.trusted ? "its server takes nothing new" : "it kept silent");
   if (link.idle_expiry) return;
   const std::uint64_t number = link.number;
   const Span allowed = std::max(carriage_.idle - carriage_.connect_timeout, carriage_.idle / 2);
--- a/src/servers/servers.h
+++ b/src/servers/servers.h
@@ -24,6 +24,7 @@
   int send = 0;
   std::string id;  // the part's id on the wire
   int shard = 0;
+  bool once = false;  // may never be sent again if it may have run
   std::string more;  // what its list holds beside the time left
   std::shared_ptr<const std::string> text;
   Span not_past{};
@@ -93,6 +94,8 @@
   void end_probe(Link& link, Fate fate, LoadReport report = {});
   void doubt(Link& link, Span since);
   void rest(Link& link);
+  bool wanted(const Link& link) const;
+  void expect_more(Link& link);
   void bury();
 
   net::Loop& loop_;
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -173,7 +173,7 @@
 
 struct Scene {
   explicit Scene(const std::string& entries, const std::string& connect_timeout = "20000000",
-                 const std::string& budget = "30000000")
+                 const std::string& budget = "30000000", const std::string& tick = "5000")
       : commission(config::read_commission(
             R"({"name":"n0","listen":")" + address(1) + R"(","discovery":")" + address(2) +
             R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" +
@@ -188,8 +188,9 @@
               "class-floor":[1,1],"complete-from":[1,1]},
             "limits":{"max-open":9,"streams-per-conn":100,"connect-timeout":)" +
             connect_timeout + R"(,"conn-idle":60000000,
-              "attempts-cap":3,"cancel":true,"retry-after":true,"max-retry-after":1000000},
-            "contract":{"ask-every":10000000}}})")),
+              "attempts-cap":3,"cancel":true,"second-copies":true,"retry-after":true,"max-retry-after":1000000},
+            "tick":)" +
+            tick + R"(,"contract":{"ask-every":10000000}}})")),
         gatherer(commission) {}
 
   void until(const char* what, const std::function<bool()>& holds) {
@@ -315,6 +316,30 @@
   say(scene.next(leaf, "leaf").wire == first.wire ? "over the first connection" : "OVER ANOTHER CONNECTION");
 }
 
+// Connections keep no order: the end of a multiget waits out the tick in which a send of it was written that
+// is still out, or that send might be read behind the final answer. Here the copy of an overdue part goes out
+// and the first send is answered at once.
+void copy_under_way() {
+  Leaf a(11), b(12);
+  Scene scene(entry("A", 11) + "," + entry("B", 12), "20000000", "30000000", "400000");
+  scene.hosts = {&a, &b};
+  Client client;
+  client.send("m", "issue", kOne);
+  scene.until("a frame", [&] { return !a.got.empty() || !b.got.empty(); });
+  Leaf& to = a.got.empty() ? b : a;
+  to.answer(to.got.front().wire, "m.1", "S 1 -", "v");
+  scene.until("an answer", [&] { return client.answered(); });
+  say("without a copy: " + client.answer());
+  to.got.clear();
+  client.send("n", "draft", kOne);
+  scene.until("two frames", [&] { return a.got.size() + b.got.size() == 2; });
+  const auto copied = std::chrono::steady_clock::now();
+  a.answer(a.got.front().wire, "n.1", "S 1 -", "v");
+  scene.until("the second step", [&] { return a.got.size() + b.got.size() > 3; });
+  say(std::chrono::steady_clock::now() - copied > 250ms ? "the step's end waits out the tick"
+                                                         : "THE COPY MAY COME BEHIND THE STEP'S END");
+}
+
 // A client that closes has left: what is out for it is given up, and nothing more is sent.
 void client_leaves() {
   Leaf leaf(11);
@@ -502,8 +527,57 @@
   scene.answered(one, "client");
 }
 
-// Shard servers that send nonsense: an answer for nothing out is passed over, lost framing ends the
-// connection.
+// What a connection's end takes with it: a non-retriable part goes where nothing else is out, and nothing joins
+// it, so that another part's spoilt answer does not lose it.
+void apart() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  Client one, two, three;
+  one.send("m1", "draft", kOne);
+  const auto first = scene.next(leaf, "leaf");
+  two.send("m2", "issue", kOne);
+  const auto second = scene.next(leaf, "leaf");
+  say(second.wire == first.wire ? "TOGETHER" : "apart");
+  three.send("m3", "draft", kOne);
+  say(scene.next(leaf, "leaf").wire == first.wire ? "over the first connection" : "OVER ANOTHER CONNECTION");
+  first.wire->put("noise, and more noise");
+  leaf.answer(second.wire, "m2.1", "S 1 -", "v");
+  scene.answered(two, "client");
+}
+
+// A frame that is not gone on with ends its connection after the connect time-out, and with it the wait.
+void stalled_frame() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11), "300000");
+  scene.hosts = {&leaf};
+  Client client;
+  client.send("m", "issue", kOne);
+  scene.next(leaf, "leaf").wire->put(std::string("\0\0\0\x40" "5m.1 S 1 -\nbut no more", 27));
+  scene.answered(client, "client");
+}
+
+// A server that drains, or that the list no longer has, keeps no connection of ours but for what is out there.
+void let_go() {
+  Leaf a(11), b(12);
+  Discovery discovery(2);
+  Scene scene(entry("A", 11) + "," + entry("B", 12));
+  scene.hosts = {&a, &b, &discovery};
+  scene.until("a call", [&] { return !discovery.asked.empty(); });
+  Client one, two;
+  one.send("m1", "issue", kOne);
+  scene.until("a frame", [&] { return !a.got.empty() || !b.got.empty(); });
+  Leaf& first = a.got.empty() ? b : a;
+  first.answer(first.got.front().wire, "m1.1", "S 1 -", "v");
+  scene.answered(one, "client");
+  const std::string name = &first == &a ? "A" : "B";
+  discovery.answer(R"({"index":5,"snapshot":false,"endpoints":[)" + entry(name, &first == &a ? 11 : 12, "gone") +
+                   "]}");
+  scene.until("its end", [&] { return first.wires.front().ended; });
+  say("the idle connection ends with its server");
+}
+
+// Shard servers that send nonsense: an answer for nothing out there, or lost framing, ends the connection.
 void odd_frames() {
   Leaf leaf(11);
   Scene scene(entry("A", 11));
@@ -538,12 +612,16 @@
                                                       {"broken_after", broken_after},
                                                       {"silent_connection", silent_connection},
                                                       {"client_leaves", client_leaves},
+                                                      {"copy_under_way", copy_under_way},
                                                       {"list_watched", list_watched},
                                                       {"list_moved", list_moved},
                                                       {"planned_stop", planned_stop},
                                                       {"stop_serves_on", stop_serves_on},
                                                       {"client_waits", client_waits},
                                                       {"bad_requests", bad_requests},
+                                                      {"apart", apart},
+                                                      {"stalled_frame", stalled_frame},
+                                                      {"let_go", let_go},
                                                       {"odd_frames", odd_frames}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
