--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -181,7 +181,7 @@
 
 // Every wait on a client has its limit here: one that says nothing, or sends a request that does not end, is
 // owed its end; one that does not read its answer, or does not close after the last, has had its time. Idle
-// ones are let go when half of the places are taken, those idle longest first, so that the rest stays free for
+// ones are let go when three of four places are taken, those idle longest first, so that the rest stays free for
 // who comes, and none is closed at the moment at which its next request may be under way.
 void Clients::sweep() {
   std::vector<Caller*> idle;
@@ -205,7 +205,7 @@
       }
     }
   }
-  const std::size_t room = most_ / 2;
+  const std::size_t room = most_ - most_ / 4;
   if (callers_.size() > room) {
     const auto most = std::min(idle.size(), callers_.size() - room);
     std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(most), idle.end(),
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -29,12 +29,12 @@
   return std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
 }
 
-// The descriptors left for clients: each listed server may need a connection and its successor.
+// The descriptors left for clients beside those that each listed server may need.
 std::size_t client_room(const config::Commission& commission) {
   const std::size_t listed = commission.known.is_object() && commission.known.contains("endpoints")
                                  ? commission.known["endpoints"].size()
                                  : 0;
-  const int left = commission.sockets - kOwnDescriptors - 2 * static_cast<int>(listed);
+  const int left = commission.sockets - kOwnDescriptors - servers::kFewLinks * static_cast<int>(listed);
   return static_cast<std::size_t>(std::max(left, commission.sockets / 2));
 }
 
--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -6,12 +6,6 @@
 #include "net/log.h"
 
 namespace marbledyke::servers {
-namespace {
-
-constexpr int kFewLinks = 4;  // to one server, beyond which none is opened to keep parts apart
-
-}  // namespace
-
 using namespace std::chrono_literals;
 
 // One connection to a shard server.
--- a/src/servers/servers.h
+++ b/src/servers/servers.h
@@ -18,6 +18,8 @@
 
 namespace marbledyke::servers {
 
+inline constexpr int kFewLinks = 4;  // to one server, beyond which none is opened to keep parts apart
+
 // A send as it is to be carried out.
 struct Errand {
   Rid part;
