The module forgets servers that are gone; steps' ends wait a tick after a send of the last 50 ms

Now any send of the last 50 ms, the protocol's slack, that is not answered makes the end wait a tick.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "model/hand.h"
+#include "model/measure.h"
 #include "model/slab.h"
 #include "model/terms.h"
 #include "model/window_count.h"
@@ -66,23 +67,6 @@
 constexpr double kMissGain = 0.1;         // weight of the newest multiget in the share that misses its budget
 // clang-format on
 
-double seconds(Span s) { return static_cast<double>(s.count()) * 1e-6; }
-double micros(Span s) { return static_cast<double>(s.count()); }
-Span span(double us) { return Span(static_cast<std::int64_t>(us)); }
-double fade(Span age, Span memory) { return std::exp(-micros(age) / micros(memory)); }
-
-std::uint64_t mix(std::uint64_t x) {
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
-std::uint64_t hash_text(std::string_view text) {
-  std::uint64_t h = 0xcbf29ce484222325ULL;
-  for (char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return mix(h);
-}
-
 }  // namespace
 
 struct Choice::Mind {
@@ -180,8 +164,11 @@
   void list_row(const ListRow& row) {
     Replica* r = replica_of(row.server);
     if (r == nullptr) {
-      by_server.emplace(row.server, static_cast<int>(replicas.size()));
-      r = &replicas.emplace_back();
+      if (spare.empty()) spare.push_back(static_cast<int>(replicas.size()));
+      if (spare.back() == static_cast<int>(replicas.size())) replicas.emplace_back();
+      by_server.emplace(row.server, spare.back());
+      r = &(rep(spare.back()) = Replica{});
+      spare.pop_back();
       r->server = row.server;
       r->hash = hash_text(row.server);
       r->decayed_at = now;
@@ -200,11 +187,13 @@
     for (Replica& r : replicas) {
       if (!r.named) r.standing = Standing::gone;  // absent from a whole list
     }
+    had.resize(replicas.size() * static_cast<std::size_t>(shards), 0.0);
+    forget_gone();
     for (auto& cell : by_cell) cell.clear();
     for (std::size_t i = 0; i < replicas.size(); ++i) {
-      by_cell[static_cast<std::size_t>(replicas[i].cell)].push_back(static_cast<int>(i));
+      if (replicas[i].standing == Standing::up)
+        by_cell[static_cast<std::size_t>(replicas[i].cell)].push_back(static_cast<int>(i));
     }
-    had.resize(replicas.size() * static_cast<std::size_t>(shards), 0.0);
     candidates.reserve(replicas.size());
     if (!list_remembered) {
       watching = true;
@@ -213,6 +202,22 @@
     }
   }
 
+  // Where servers come under ever new ids, those gone would fill memory. A place is used again once no part
+  // in hand was sent there, no look is out, and what it was sent while cold cannot count if it comes back.
+  void forget_gone() {
+    const Span cold = contract.time("contract.cold", 0s);
+    for (Replica& r : replicas) r.kept = r.standing != Standing::gone || r.asked || now - r.decayed_at < cold;
+    for (const int m : hand) {
+      for (int p = multigets.at(m).first_part; p >= 0; p = parts.at(p).next)
+        for (int i = 0; i < parts.at(p).sent; ++i) rep(parts.at(p).send(i).replica).kept = true;
+    }
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+      if (replicas[i].kept || by_server.erase(std::exchange(replicas[i].server, "")) == 0) continue;
+      spare.push_back(static_cast<int>(i));
+      for (int shard = 0; shard < shards; ++shard) had_of(shard, static_cast<int>(i)) = 0;
+    }
+  }
+
   void list_refused() {
     watching = false;
     asked_at.reset();
@@ -616,13 +621,6 @@
 
   // ---- placement ----
 
-  struct Candidate {
-    int replica;
-    std::uint64_t rank;
-    double load;
-    double chance;
-  };
-
   double warmth(const Replica& r) const {
     if (!r.started) return 1;
     const Span cold = contract.time("contract.cold", 0s);
@@ -657,9 +655,8 @@
     const std::uint64_t shard =
         mix(static_cast<std::uint64_t>(part.shard) * 0x9e3779b97f4a7c15ULL ^ mix(part.key));
     for (int j = 0; j < std::min(width, cells); ++j) {
-      for (const int i : by_cell[static_cast<std::size_t>((part.shard + j) % cells)]) {
-        if (rep(i).standing == Standing::up) candidates.push_back({i, mix(rep(i).hash ^ shard), 0, 1});
-      }
+      for (const int i : by_cell[static_cast<std::size_t>((part.shard + j) % cells)])
+        candidates.push_back({i, mix(rep(i).hash ^ shard), 0, 1});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
       return a.rank != b.rank ? a.rank > b.rank : a.replica < b.replica;
@@ -718,8 +715,7 @@
     const double multiple = contract.at_least("contract.fall-multiple", 1, 0);
     const double room = multiple * warm * carried * seconds(window);
     if (sent > 0 || cost <= room) return sent + cost <= room;
-    // Many gatherers have less than one send each in a window; each then draws once a window whether it has
-    // it.
+    // Many gatherers have less than one send each in a window; each then draws once a window if it has it.
     if (now - r.turn_at > window) {
       r.turn_at = now;
       r.turn = std::uniform_real_distribution<double>(0, 1)(chance) * cost < kOverbook * room;
@@ -862,8 +858,7 @@
         Part& part = parts.at(p);
         if (part.returned || part.pending || part.step != mg.step || part.sent == 0) continue;
         const SendRecord& last = part.sends[static_cast<std::size_t>(part.sent - 1)];
-        if (!last.out || micros(now - last.at) < kOverdue * last.expect) continue;
-        if (!may_repeat(part, mg)) continue;
+        if (!last.out || micros(now - last.at) < kOverdue * last.expect || !may_repeat(part, mg)) continue;
         if (part.out() > 1) {
           withdraw_all(p, part.sent - 1);  // both are overdue: the older one makes room for a third
           continue;
@@ -965,6 +960,7 @@
   std::vector<Withdrawal> withdrawals;
   std::vector<Candidate> candidates;
   std::vector<Replica> replicas;
+  std::vector<int> spare;  // places of replicas that are forgotten
   std::map<std::string, int, std::less<>> by_server;
   std::vector<std::vector<int>> by_cell;
   std::vector<double> had;  // recent parts by shard and replica
@@ -1012,5 +1008,6 @@
 std::optional<ListCall> Choice::next_list_call() { return mind_->next_list_call(); }
 std::optional<std::string> Choice::next_note() { return mind_->next_note(); }
 std::optional<Span> Choice::next_wake() { return mind_->next_wake(); }
+std::size_t Choice::servers_known() const { return mind_->by_server.size(); }
 
 }  // namespace marbledyke
--- a/src/choice.h
+++ b/src/choice.h
@@ -42,6 +42,8 @@
   std::optional<std::string> next_note();
   std::optional<Span> next_wake();  // from now
 
+  std::size_t servers_known() const;  // of which anything is kept
+
  private:
   struct Mind;
   std::unique_ptr<Mind> mind_;
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -22,6 +22,8 @@
 // A watch that broke is taken up again after this: by the protocol, what is listed counts as told 2 s after a
 // wait.
 constexpr Span kListRest = 2s;
+// The protocol's limits are so much longer on sockets; that long a send may be under way.
+constexpr Span kSlack = 50ms;
 // What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice.
 constexpr int kOwnDescriptors = 8;
 
@@ -312,15 +314,15 @@
 
 // Every step's end passes here, once for each. Connections keep no order among each other: a send that was
 // written a moment ago may be read behind the end of its step, and then comes after the final answer though it
-// left before it. So the end of a step with such a send waits for the rest of a tick. That befalls multigets
-// with a second copy just sent; harm: these are answered so much later.
+// left before it. Machines that stand still for a moment make that likely: parts become overdue and are copied
+// meanwhile, and afterwards everything is read at once. So the end of a step with such a send waits for a tick.
+// That befalls multigets with a second copy just sent; harm: these are answered so much later.
 void Gatherer::decided(const Verdict& verdict) {
   InHand* mg = hand_of(verdict.multiget);
   if (!net::must_hold(mg != nullptr && !mg->over, "one final answer for each multiget")) return;
-  const Span clear = std::max(mg->out > 0 ? mg->last_send : mg->last_given, mg->last_given) +
-                     commission_.carriage.tick;
-  if (loop_.now() >= clear) return answered(*mg, verdict);
-  loop_.at(clear, [this, verdict] {
+  const Span newest = std::max(mg->out > 0 ? mg->last_send : mg->last_given, mg->last_given);
+  if (loop_.now() > newest + kSlack) return answered(*mg, verdict);
+  loop_.at(loop_.now() + commission_.carriage.tick, [this, verdict] {
     InHand* late = hand_of(verdict.multiget);
     if (late != nullptr && !late->over) answered(*late, verdict);
   });
@@ -392,7 +394,7 @@
                         << ", probes " << t.probes << ", connections opened " << t.opened << ", held "
                         << servers_.connections() << " and " << clients_.size()
                         << " of clients; not connected " << t.dial_failed << ", dropped " << t.dropped
-                        << ", expired " << t.expired << ", odd frames " << t.odd_frames
+                        << ", expired " << t.expired << ", servers known " << choice_.servers_known() << ", odd frames " << t.odd_frames
                         << "; broken invariants " << net::broken_invariants());
 }
 
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -114,6 +114,7 @@
   int cell = 0;
   Standing standing = Standing::gone;
   bool named = false;  // in the list being read
+  bool kept = true;    // it is up, or something still refers to it
   std::optional<Span> started;
   double out = 0;             // own cost in flight
   double recent = 0;          // own cost recently sent
@@ -134,4 +135,12 @@
   bool turn = false;
 };
 
+// A replica that a part may be sent to.
+struct Candidate {
+  int replica = -1;
+  std::uint64_t rank = 0;
+  double load = 0;
+  double chance = 1;
+};
+
 }  // namespace marbledyke
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -231,6 +231,31 @@
   }
 }
 
+// Servers come under ever new ids, one a second, each gone after two: nothing is kept of them for longer than a
+// cold start lasts, but for the one that a part is still out to, and a drained one is still known as such.
+void forgotten() {
+  Gatherer g(ordinary_terms());
+  g.list("A");
+  g.take("m", "p", 100, 0, 0, 1000s);
+  g.decide();
+  g.list("A", Standing::gone);
+  g.list("Z", Standing::draining);
+  const auto listed = [&](int i, Standing standing) {
+    g.choice().list_opens(false, false);
+    g.choice().list_row({"s" + std::to_string(i), 0, 0, standing, 1, {}});
+    g.choice().list_closes();
+  };
+  for (int i = 0; i < 300; ++i) {
+    g.at(1s * (i + 1));
+    listed(i, Standing::up);
+    if (i > 1) listed(i - 2, Standing::gone);
+    if (i % 100 == 99) g.say("servers known: " + std::to_string(g.choice().servers_known()));
+  }
+  g.list("A");
+  g.take("n", "p", 100, 0, 0, 1000s);
+  g.decide();
+}
+
 // B answers ten times slower and A quickly fails half, from 5 s to 15 s: B keeps little of the work, A loses
 // some. long as it lasts.
 void sick_replicas() {
@@ -392,6 +417,7 @@
   if (which == "rule_honest") rule_honest();
   if (which == "lost_parts") lost_parts();
   if (which == "list_lies") list_lies();
+  if (which == "forgotten") forgotten();
   if (which == "sick_replicas") sick_replicas();
   if (which == "stampede") stampede();
   if (which == "cold_is_no_jam") cold_is_no_jam();
