--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -73,6 +73,7 @@
     Caller* const caller = made.get();
     caller->number = next_caller_++;
     caller->since = loop_.now();
+    tally_.accepted += 1;
     callers_.emplace(caller->number, std::move(made));
     caller->stream = std::make_unique<net::Stream>(
         loop_, std::move(fd), true, kMostBody, kMostAnswer,
@@ -196,11 +197,13 @@
     } else if (caller.reader.begun()) {
       if (now < caller.first_byte + kMayClose) continue;
       caller.in_hand = true;
+      tally_.unended += 1;
       say(caller, answer_text(408, "the request does not end\n", false), false);
     } else if (now >= caller.since + kMayClose) {
       if (caller.spoken) {
         idle.push_back(&caller);
       } else {
+        tally_.silent += 1;
         part(caller);
       }
     }
@@ -210,6 +213,7 @@
     const auto most = std::min(idle.size(), callers_.size() - room);
     std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(most), idle.end(),
                       [](const Caller* a, const Caller* b) { return a->since < b->since; });
+    tally_.let_go += most;
     for (std::size_t i = 0; i < most; ++i) part(*idle[i]);
   }
   loop_.at(now + kSweep, [this] { sweep(); });
@@ -244,6 +248,7 @@
     if (best == nullptr || spared(*caller) < spared(*best)) best = caller.get();
   }
   if (best == nullptr) return false;
+  tally_.evicted += 1;
   close(*best);
   return true;
 }
--- a/src/clients/clients.h
+++ b/src/clients/clients.h
@@ -42,6 +42,11 @@
   void ready(bool readable, bool writable) override;
   void bury();  // frees what has ended; not while it may still be told of it
 
+  struct Tally {
+    std::uint64_t accepted = 0, let_go = 0, evicted = 0, silent = 0, unended = 0;
+  };
+  const Tally& tally() const { return tally_; }
+
   // What has come in since the last time.
   std::vector<Asked> asked;
   std::vector<std::uint64_t> left;  // callers with a request in hand that have closed their connection
@@ -67,6 +72,7 @@
   std::map<std::uint64_t, std::unique_ptr<Caller>> callers_;
   std::vector<std::unique_ptr<Caller>> graves_;
   std::uint64_t next_caller_ = 1;
+  Tally tally_;
 };
 
 }  // namespace marbledyke::clients
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -395,15 +395,18 @@
 
 void Gatherer::report() {
   const servers::Tally& t = servers_.tally();
-  MD_LOG(info,
-         "taken " << done_.sent << ", answered " << done_.answered << ", pushed back " << done_.pushed_back
-                  << ", failed " << done_.failed << ", client left " << done_.left << ", no room "
-                  << done_.no_room << ", second steps " << done_.second_steps << "; in hand " << open_
-                  << "; calls " << t.calls << ", sends " << t.sends << ", probes " << t.probes
-                  << ", connections opened " << t.opened << ", held " << servers_.connections() << " and "
-                  << clients_.size() << " of clients; not connected " << t.dial_failed << ", dropped "
-                  << t.dropped << ", expired " << t.expired << ", servers known " << choice_.servers_known()
-                  << ", odd frames " << t.odd_frames << "; broken invariants " << net::broken_invariants());
+  const clients::Clients::Tally& c = clients_.tally();
+  MD_LOG(info, "taken " << done_.sent << ", answered " << done_.answered << ", pushed back "
+                        << done_.pushed_back << ", failed " << done_.failed << ", client left " << done_.left
+                        << ", no room " << done_.no_room << ", second steps " << done_.second_steps
+                        << "; in hand " << open_ << "; calls " << t.calls << ", sends " << t.sends
+                        << ", probes " << t.probes << ", connections opened " << t.opened << ", held "
+                        << servers_.connections() << " and " << clients_.size() << " of clients (accepted "
+                        << c.accepted << ", let go " << c.let_go << ", evicted " << c.evicted << ", silent "
+                        << c.silent << ", not ended " << c.unended << "); not connected " << t.dial_failed
+                        << ", dropped " << t.dropped << ", expired " << t.expired << ", servers known "
+                        << choice_.servers_known() << ", odd frames " << t.odd_frames
+                        << "; broken invariants " << net::broken_invariants());
 }
 
 }  // namespace marbledyke::gatherer
