Overdue parts are withdrawn and moved where copies may not overlap; partials come in time

Now the overdue send is withdrawn and its end (revoked) sends the part again under the same rules; a partial answer is given 20 ms before the budget ends.

The sends of a part are still never out together: the next goes out after the outcome.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -86,6 +86,7 @@
     crossing = kCrossing * contract.at_least("prices.cross-zone", 0, 0) /
                std::max(contract.at_least("prices.waste", 0, 0), 0.05);
     peers = contract.at_least("replicas-of-me", 1, 1);
+    tick = contract.time("tick", 5ms);
     for (int i = 0; contract.has("customers." + std::to_string(i) + ".name"); ++i) {
       const std::string name = "customers." + std::to_string(i) + ".allowance-per-s";
       const double allowance = contract.at_least(name, 0, 0) / peers;
@@ -242,7 +243,7 @@
     mg.op_type = std::clamp(ask.op_type, 0, static_cast<int>(op_types.size()) - 1);
     mg.customer = ask.customer;
     mg.taken = now;
-    mg.last_moment = ask.client_leaves - kGlance - 2 * contract.time("tick", 5ms);
+    mg.last_moment = ask.client_leaves - kGlance - 2 * tick;
     mg.awaited = ask.parts;
     mg.importance = type_of(mg).importance * within_share(ask.customer);
     hand.push_back(place);
@@ -520,12 +521,13 @@
         return finish(place, Ending::answer, mg.step == 1 || mg.first_step_whole, Span::zero());
       }
       const bool late = now >= mg.taken + op.latency_budget;
+      const bool closing = now >= mg.taken + op.latency_budget - kGlance - 2 * tick;
       const bool floor_in = op.floor < op.need && mg.awaited == 0 && mg.weight_in >= op.floor - kRounding;
       // What can no longer come ends the multiget at once, unless the rest may still make an answer.
       const double possible = 1 - mg.weight_lost + kRounding;
       const bool hopeless =
           possible < std::min(need, op.floor) || (possible < need && floor_in && mg.sends_out == 0);
-      if (now >= mg.last_moment || hopeless || (late && op.partial > 0 && floor_in)) {
+      if (now >= mg.last_moment || hopeless || (closing && op.partial > 0 && floor_in)) {
         return finish(place, floor_in ? Ending::answer : Ending::push_back, false, Span::zero());
       }
       if (late && (op.late_share <= 0 || fleet_pace > 3)) return finish(place, Ending::push_back, false, 0s);
@@ -749,8 +751,9 @@
   }
 
   // The design's choice among a part's replicas; -1 where none may be sent to.
-  int pick(const Part& part) {
-    if (!may_send(part)) return -1;
+  int pick(const Part& part) { return may_send(part) ? choose(part) : -1; }
+
+  int choose(const Part& part) {
     holders(part);
     const Multiget& mg = multigets.at(part.multiget);
     const double trust = type_of(mg).repeat == Repeat::retriable ? 0.4 : 0.9;
@@ -870,9 +873,12 @@
           withdraw_all(p, part.sent - 1);  // both are overdue: the older one makes room for a third
           continue;
         }
-        const int to = pick(part);
+        if (!copies && last.withdrawn) continue;
+        const int to = copies ? pick(part) : choose(part);
         if (to < 0 || estimate(rep(to), part.cost + call_cost) > 2 * micros(now - last.at)) continue;
-        commit(p, to);
+        // Where no two may be out at once, the overdue send is withdrawn, and its end sends the part again.
+        if (copies) commit(p, to);
+        else withdraw_all(p);
       }
     }
   }
@@ -955,7 +961,7 @@
   double call_cost = 0;
   int call_room = 1, cells = 1, width = 1, shards = 1, most_sends = 1, zone = 0;
   double peers = 1;
-  Span cold{}, cold_window{}, warm_counted_at = Span::min() / 2;
+  Span tick{}, cold{}, cold_window{}, warm_counted_at = Span::min() / 2;
   double cold_from = 1, cold_multiple = 1, warm_ones = 0, further_free = 0, further_share = 0;
   bool copies = false, cancels = false, budgeted = false, by_work = false;
   double crossing = 0;  // load that crossing zones adds, by the part's cost
