Admission expects a multiget at the weight an answer may be given from

Now it is the time by which the weight that an answer needs is in; op types without partial answers are as before.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,6 +32,7 @@
 using namespace std::chrono_literals;
 
 // clang-format off
+constexpr double kRounding = 1e-5;        // of weights
 constexpr double kMargin = 1.05;          // the design: the preferred replica keeps a part within 5%
 constexpr double kTieShare = 0.2;         // the design: on ties, a fifth of a shard's parts above its share
 constexpr Span kRecent = 1s;              // the design: cost recently sent decays over this
@@ -116,6 +117,7 @@
     const auto room = static_cast<std::size_t>(contract.number("limits.max-open", 1000));
     for (auto* list : {&hand, &pending, &released, &looks, &touched}) list->reserve(room * 2);
     plan.reserve(room * 2);
+    times.reserve(room);
     withdrawals.reserve(room * 2);
   }
 
@@ -510,7 +512,6 @@
   }
 
   std::optional<Verdict> next_verdict() {
-    constexpr double kRounding = 1e-5;
     while (verdict_cursor < hand.size()) {
       const int place = hand[verdict_cursor++];
       Multiget& mg = multigets.at(place);
@@ -592,8 +593,10 @@
 
   // ---- admission ----
 
+  // Until as much weight is in as an answer may be given from.
   double expected_time(const Multiget& mg) {
-    double longest = 0;
+    const OpType& op = type_of(mg);
+    times.clear();
     for (int p = mg.first_part; p >= 0; p = parts.at(p).next) {
       double best = std::numeric_limits<double>::infinity();
       holders(parts.at(p));
@@ -603,9 +606,15 @@
         // deploy look like a jam. Harm: the first multigets after a start may be admitted too easily.
         best = std::min(best, estimate(r, parts.at(p).cost + call_cost) * warmth(r));
       }
-      longest = std::max(longest, best);
+      times.emplace_back(best, parts.at(p).weight);
+    }
+    std::sort(times.begin(), times.end());
+    double missing = op.partial > 0 ? std::min(op.floor, op.need) : op.need;
+    for (const auto& [time, weight] : times) {
+      missing -= weight;
+      if (missing <= kRounding) return time;
     }
-    return longest;
+    return times.empty() ? 0 : times.back().first;
   }
 
   // From 0 while the fleet answers about as quickly as it has, to 1 when it is jammed. Pace is seen by
@@ -975,6 +984,7 @@
   std::vector<Send> plan;
   std::vector<Withdrawal> withdrawals;
   std::vector<Candidate> candidates;
+  std::vector<std::pair<double, double>> times;  // of a multiget's parts, and their weights
   std::vector<Replica> replicas;
   std::vector<int> spare;  // places of replicas that are forgotten
   std::map<std::string, int, std::less<>> by_server;
