--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -45,6 +45,7 @@
 constexpr double kPrior = 2;              // successes that a replica is credited with
 constexpr Span kGlance = 10ms;            // how often what is in hand is looked over
 constexpr double kOverdue = 4;            // multiple of its expectation at which a send is due a copy
+constexpr double kMoved = 6;              // and at which it is moved, where no copy may go beside it
 constexpr double kPaceGain = 0.2;         // weight of the newest answer in a replica's pace
 constexpr Span kPaceMemory = 10s;         // a replica's pace drifts back to the fleet's over this
 constexpr double kOpening = 3;            // a call to be opened counts as load at this multiple of its cost
@@ -560,7 +561,7 @@
     if (!mg.looked_at) {
       mg.looked_at = now;
       double worth = 0;
-      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) worth += missed / 4 / look_price;
+      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) worth += missed / (copies ? 4 : 2) / look_price;
       for (int k = 0; k < most_sends; ++k) {
         for (int p = mg.first_part; p >= 0 && worth >= 1; p = parts.at(p).next) {
           holders(parts.at(p));
@@ -877,7 +878,7 @@
         Part& part = parts.at(p);
         if (part.returned || part.pending || part.step != mg.step || part.sent == 0) continue;
         const SendRecord& last = part.sends[static_cast<std::size_t>(part.sent - 1)];
-        if (!last.out || micros(now - last.at) < kOverdue * last.expect || !may_repeat(part, mg)) continue;
+        if (!last.out || micros(now - last.at) < (copies ? kOverdue : kMoved) * last.expect || !may_repeat(part, mg)) continue;
         if (part.out() > 1) {
           withdraw_all(p, part.sent - 1);  // both are overdue: the older one makes room for a third
           continue;
