--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,6 +46,8 @@
 constexpr Span kGlance = 10ms;            // how often what is in hand is looked over
 constexpr double kOverdue = 4;            // multiple of its expectation at which a send is due a copy
 constexpr double kMoved = 6;              // and at which it is moved, where no copy may go beside it
+constexpr double kDoubted = 3;            // or at this, if the replica is silent when asked
+constexpr Span kSilent = 100ms;           // a look that is out for so long counts as that
 constexpr double kPaceGain = 0.2;         // weight of the newest answer in a replica's pace
 constexpr Span kPaceMemory = 10s;         // a replica's pace drifts back to the fleet's over this
 constexpr double kOpening = 3;            // a call to be opened counts as load at this multiple of its cost
@@ -312,6 +314,7 @@
     r->asked.reset();
     looked_at = now;
     if (fate == Fate::returned) {
+      look_time += kStretchGain * (micros(elapsed) - look_time);
       hear_load(*r, report, elapsed);
     } else {
       believe(r->belief, 0, 2, kBeliefMemory);
@@ -870,6 +873,16 @@
     }
   }
 
+  // Whether a replica that is overdue does not answer a look either; a replica that only has much to do does.
+  bool silent(int replica) {
+    Replica& r = rep(replica);
+    if (probing && !r.asked && now - r.news_at >= kStale) {
+      r.asked = now;
+      looks.push_back(replica);
+    }
+    return r.asked && now - *r.asked >= std::max(kSilent, span(kSilence * look_time));
+  }
+
   void want_copies() {
     for (const int m : hand) {
       const Multiget& mg = multigets.at(m);
@@ -878,14 +891,16 @@
         Part& part = parts.at(p);
         if (part.returned || part.pending || part.step != mg.step || part.sent == 0) continue;
         const SendRecord& last = part.sends[static_cast<std::size_t>(part.sent - 1)];
-        if (!last.out || micros(now - last.at) < (copies ? kOverdue : kMoved) * last.expect || !may_repeat(part, mg)) continue;
+        const double waited = micros(now - last.at);
+        if (!last.out || waited < (copies ? kOverdue : kDoubted) * last.expect || !may_repeat(part, mg)) continue;
         if (part.out() > 1) {
           withdraw_all(p, part.sent - 1);  // both are overdue: the older one makes room for a third
           continue;
         }
         if (!copies && last.withdrawn) continue;
+        if (!copies && !silent(last.replica) && waited < kMoved * last.expect) continue;
         const int to = copies ? pick(part) : choose(part);
-        if (to < 0 || estimate(rep(to), part.cost + call_cost) > 2 * micros(now - last.at)) continue;
+        if (to < 0 || estimate(rep(to), part.cost + call_cost) > 2 * waited) continue;
         // Where no two may be out at once, the overdue send is withdrawn, and its end sends the part again.
         if (copies) commit(p, to);
         else withdraw_all(p);
@@ -998,7 +1013,7 @@
   std::uint64_t next_order = 0;
   double fleet_pace = 1;
   double fleet_wait = 1;  // time that answers lately took for their own work
-  double mean_density = 0, mean_charge = 100'000, look_price = 0;
+  double mean_density = 0, mean_charge = 100'000, look_price = 0, look_time = 1000;
   double missed = 0.05;                      // share of own multigets not answered within the latency budget
   double fleet_foreign = 0, fleet_held = 1;  // others' work, and parts held, at a replica
   double warm_flow = 0;                      // own cost sent to warm replicas, faded
