--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -95,6 +95,7 @@
       const std::string name = "customers." + std::to_string(i) + ".allowance-per-s";
       const double allowance = contract.at_least(name, 0, 0) / peers;
       customers.push_back({allowance, allowance, {}});
+      allowances += allowance;
     }
     probing = contract.flag("limits.probing", false);
     cold = contract.time("contract.cold", 0s);
@@ -250,17 +251,22 @@
     mg.taken = now;
     mg.last_moment = ask.client_leaves - kGlance - 2 * tick;
     mg.awaited = ask.parts;
-    mg.importance = type_of(mg).importance * within_share(ask.customer);
+    mg.importance = type_of(mg).importance * within_share(ask.customer, ask.repeated);
     hand.push_back(place);
     taken.add(now);
   }
 
   // What a customer sends beyond its share of this gatherer's traffic is worth little.
-  double within_share(int customer) {
+  double within_share(int customer, bool repeated) {
+    own_rate = own_rate * fade(now - own_rate_at, kShardMemory) + (repeated ? 0 : 1);
+    own_rate_at = now;
     if (customer < 0 || customer >= static_cast<int>(customers.size())) return 1;
     Customer& c = customers[static_cast<std::size_t>(customer)];
     if (c.allowance <= 0) return 1;
-    c.tokens = std::min(c.tokens + c.allowance * seconds(now - c.filled), std::max(3.0, 3 * c.allowance));
+    // A gatherer that takes more than an even part of the traffic has as much more of each customer's share.
+    const double busier = std::max(own_rate / seconds(kShardMemory) / allowances, 1.0);
+    c.tokens = std::min(c.tokens + busier * c.allowance * seconds(now - c.filled),
+                        std::max(3.0, 3 * busier * c.allowance));
     c.filled = now;
     if (c.tokens < 1) return contract.share("over-share-worth", 1);
     c.tokens -= 1;
@@ -1007,12 +1013,13 @@
   std::vector<std::vector<int>> by_cell;
   std::vector<double> had;  // recent parts by shard and replica
   double had_unit = 1;
-  Span now{}, had_at{}, flow_at{}, looked_at{-1h}, ask_from{}, noted_at{-1h};
+  Span now{}, had_at{}, flow_at{}, own_rate_at{}, looked_at{-1h}, ask_from{}, noted_at{-1h};
   std::size_t verdict_cursor = 0, plan_cursor = 0;
   bool planned = false, probing = false;
   std::uint64_t next_order = 0;
   double fleet_pace = 1;
   double fleet_wait = 1;  // time that answers lately took for their own work
+  double allowances = 0, own_rate = 0;       // multigets a second; and counted, faded
   double mean_density = 0, mean_charge = 100'000, look_price = 0, look_time = 1000;
   double missed = 0.05;                      // share of own multigets not answered within the latency budget
   double fleet_foreign = 0, fleet_held = 1;  // others' work, and parts held, at a replica
--- a/src/model/plain.h
+++ b/src/model/plain.h
@@ -48,6 +48,7 @@
   int customer = 0;
   int parts = 0;
   Span client_leaves{};
+  bool repeated = false;  // the client says that it has tried before
 };
 
 struct PartAsk {
--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -190,6 +190,7 @@
       ask.op_type = static_cast<int>(whole_or(msg, "profile", 0));
       ask.customer = static_cast<int>(whole_or(msg, "user-group", 0));
       ask.parts = static_cast<int>(number(need(msg, "heft"), "heft"));
+      ask.repeated = msg.contains("is-retry") && msg["is-retry"] == true;
       ask.client_leaves = to.span(whole(msg, "drop-dead"));
       to.choice.multiget_taken(ask);
     } else {
