Settings load in a running gatherer, both ways by the same step; traces of the move

Cause: reload checked fresh settings and then named them as waiting for the next start (gatherer.cpp, reload), so the move would have been a restart, in which what is in hand ends. Now what has been gathered is handed over under the old settings; the module's terms are renewed, with op type and layout kept by each multiget in hand, learned state kept, sends still counted against budgets, second of two sends withdrawn where that is no longer allowed; then the carriage is replaced, and the list is read anew where zones or cells changed. Where fronts for searching run, op types still wait for a start, as open sets hang on them. X-Retry is passed on.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -17,6 +17,7 @@
 #include <cmath>
 #include <limits>
 #include <random>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -77,6 +78,15 @@
         chance(seed),
         multigets(static_cast<std::size_t>(contract.at_least("limits.max-open", 1000, 1))),
         parts(static_cast<std::size_t>(contract.at_least("limits.max-open", 1000, 1))) {
+    read_terms();
+    const auto room = static_cast<std::size_t>(contract.number("limits.max-open", 1000));
+    for (auto* list : {&hand, &pending, &released, &looks, &touched}) list->reserve(room * 2);
+    plan.reserve(room * 2);
+    times.reserve(room);
+    withdrawals.reserve(room * 2);
+  }
+
+  void read_terms() {
     read_op_types();
     call_cost = contract.at_least("specifics.overhead", 0, 0);
     call_room = static_cast<int>(contract.at_least("specifics.bundle-max", 1, 1));
@@ -91,6 +101,8 @@
                std::max(contract.at_least("prices.waste", 0, 0), 0.05);
     peers = contract.at_least("replicas-of-me", 1, 1);
     tick = contract.time("tick", 5ms);
+    customers.clear();
+    allowances = 0;
     for (int i = 0; contract.has("customers." + std::to_string(i) + ".name"); ++i) {
       const std::string name = "customers." + std::to_string(i) + ".allowance-per-s";
       const double allowance = contract.at_least(name, 0, 0) / peers;
@@ -115,22 +127,49 @@
       all_told |= field == "active";
       unit[i] = field == "active" || field == "waiting" ? 1 : field == "cpu" && !all_told ? kAtOnce : 0;
     }
-    taken.set(contract.time("contract.resend-span", 10s));
-    further.set(contract.time("contract.resend-span", 10s));
+    const Span window = contract.time("contract.resend-span", 10s);
+    taken.set(window, now, 0);
+    for (WindowCount* made : {&further, &copied}) made->set(window, now, made->at_most(now));
     by_cell.resize(static_cast<std::size_t>(cells));
-    const auto room = static_cast<std::size_t>(contract.number("limits.max-open", 1000));
-    for (auto* list : {&hand, &pending, &released, &looks, &touched}) list->reserve(room * 2);
-    plan.reserve(room * 2);
-    times.reserve(room);
-    withdrawals.reserve(room * 2);
+  }
+
+  // New terms in a running gatherer. What is in hand ends under the op type and the layout that it was taken
+  // with; what was learned stays, and what was sent goes on counting against the budgets.
+  void renew(const Terms& terms) {
+    const std::vector<OpType> before = std::exchange(op_types, {});
+    std::vector<int> kept(before.size(), -1);
+    contract = Contract(terms);
+    read_terms();
+    for (OpType& op : op_types) {
+      for (const OpType& old : before) {
+        if (old.name == op.name) std::tie(op.part_work, op.stretch) = std::tie(old.part_work, old.stretch);
+      }
+    }
+    for (const int m : hand) {
+      int& at = kept[static_cast<std::size_t>(multigets.at(m).op_type)];
+      if (at < 0) {
+        at = static_cast<int>(op_types.size());
+        op_types.push_back(before[static_cast<std::size_t>(multigets.at(m).op_type)]);
+      }
+      multigets.at(m).op_type = at;
+      by_cell.resize(std::max(by_cell.size(), static_cast<std::size_t>(multigets.at(m).cells)));
+      for (int p = multigets.at(m).first_part; p >= 0 && !copies; p = parts.at(p).next) {
+        if (parts.at(p).out() > 1) withdraw_all(p, parts.at(p).sent - 1);
+      }
+    }
+    for (Replica& r : replicas) r.by_type.assign(op_types.size(), Belief{kPrior, 0, now, 1, {}});
+    had.assign(replicas.size() * static_cast<std::size_t>(shards), 0.0);
+    sort_by_cell();
   }
 
   void read_op_types() {
+    op_types.clear();
     for (int i = 0;; ++i) {
       const std::string at = "categories." + std::to_string(i) + ".";
       const std::string place = "." + std::to_string(i);
       if (!contract.has(at + "deadline")) break;
       OpType op;
+      op.name = contract.word(at + "name", "");
       const std::string effect = contract.word(at + "effect", "once");
       if (effect != "repeatable" && effect != "by_key" && effect != "once")
         Contract::refuse(at + "effect", "unknown");
@@ -151,6 +190,7 @@
       op_types.push_back(op);
     }
     if (op_types.empty()) Contract::refuse("categories", "there is no op type");
+    present = static_cast<int>(op_types.size());
   }
 
   Replica& rep(int i) { return replicas[static_cast<std::size_t>(i)]; }
@@ -192,7 +232,7 @@
       forget(*r);  // a new start: what was learned is about a process that is gone
     }
     r->zone = row.zone;
-    r->cell = std::clamp(row.cell, 0, cells - 1);
+    r->cell = std::max(row.cell, 0);
     r->standing = row.standing;
     r->started = row.started;
     r->named = true;
@@ -205,11 +245,7 @@
     had.resize(replicas.size() * static_cast<std::size_t>(shards), 0.0);
     forget_gone();
     warm_counted_at = Span::min() / 2;
-    for (auto& cell : by_cell) cell.clear();
-    for (std::size_t i = 0; i < replicas.size(); ++i) {
-      if (replicas[i].standing == Standing::up)
-        by_cell[static_cast<std::size_t>(replicas[i].cell)].push_back(static_cast<int>(i));
-    }
+    sort_by_cell();
     candidates.reserve(replicas.size());
     if (!list_remembered) {
       watching = true;
@@ -218,6 +254,15 @@
     }
   }
 
+  void sort_by_cell() {
+    for (auto& cell : by_cell) cell.clear();
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+      const auto cell = static_cast<std::size_t>(replicas[i].cell);
+      if (replicas[i].standing == Standing::up && cell < by_cell.size())
+        by_cell[cell].push_back(static_cast<int>(i));
+    }
+  }
+
   // Where servers come under ever new ids, those gone would fill memory. A place is used again once no part
   // in hand was sent there, no look is out, and what it was sent while cold cannot count if it comes back.
   void forget_gone() {
@@ -246,8 +291,9 @@
     const int place = multigets.take(ask.id);
     Multiget& mg = multigets.at(place);
     mg.number = ask.number;
-    mg.op_type = std::clamp(ask.op_type, 0, static_cast<int>(op_types.size()) - 1);
-    mg.customer = ask.customer;
+    mg.op_type = std::clamp(ask.op_type, 0, present - 1);
+    mg.cells = cells;
+    mg.width = width;
     mg.taken = now;
     mg.last_moment = ask.client_leaves - kGlance - 2 * tick;
     mg.awaited = ask.parts;
@@ -570,7 +616,8 @@
     if (!mg.looked_at) {
       mg.looked_at = now;
       double worth = 0;
-      for (int p = mg.first_part; p >= 0; p = parts.at(p).next) worth += missed / (copies ? 4 : 2) / look_price;
+      for (int p = mg.first_part; p >= 0; p = parts.at(p).next)
+        worth += missed / (copies ? 4 : 2) / look_price;
       for (int k = 0; k < most_sends; ++k) {
         for (int p = mg.first_part; p >= 0 && worth >= 1; p = parts.at(p).next) {
           holders(parts.at(p));
@@ -680,8 +727,9 @@
     candidates.clear();
     const std::uint64_t shard =
         mix(static_cast<std::uint64_t>(part.shard) * 0x9e3779b97f4a7c15ULL ^ mix(part.key));
-    for (int j = 0; j < std::min(width, cells); ++j) {
-      for (const int i : by_cell[static_cast<std::size_t>((part.shard + j) % cells)])
+    const Multiget& mg = multigets.at(part.multiget);
+    for (int j = 0; j < std::min(mg.width, mg.cells); ++j) {
+      for (const int i : by_cell[static_cast<std::size_t>((part.shard + j) % mg.cells)])
         candidates.push_back({i, mix(rep(i).hash ^ shard), 0, 1});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
@@ -721,7 +769,8 @@
   // with many parts a multiget and few multigets a gatherer, that kept failed parts waiting until the end.
   bool further_allowed(bool copy) const {
     if (!budgeted && !copy) return true;
-    return further.at_most(now) + 1 <= further_free + further_share * taken.at_least(now);
+    const WindowCount& made = budgeted ? further : copied;
+    return made.at_most(now) + 1 <= further_free + further_share * taken.at_least(now);
   }
 
   // A cold replica falls over when all gatherers together send it more than a multiple of what it can do.
@@ -838,7 +887,8 @@
     // Measured by the fleet, so that a replica known as slow does not get more time for it.
     s.expect = std::min(slowness(r), fleet_pace / warmth(r)) * s.base;
     s.out = true;
-    if (part.sent > 1 && (part.out() > 1 || budgeted)) further.add(now);
+    if (part.sent > 1) further.add(now);
+    if (part.out() > 1) copied.add(now);
     r.assigned += cost;
     if (warmth(r) < 1) {
       r.cold_sends[r.cold_next++ % r.cold_sends.size()] = {now, cost};
@@ -898,7 +948,8 @@
         if (part.returned || part.pending || part.step != mg.step || part.sent == 0) continue;
         const SendRecord& last = part.sends[static_cast<std::size_t>(part.sent - 1)];
         const double waited = micros(now - last.at);
-        if (!last.out || waited < (copies ? kOverdue : kDoubted) * last.expect || !may_repeat(part, mg)) continue;
+        if (!last.out || waited < (copies ? kOverdue : kDoubted) * last.expect || !may_repeat(part, mg))
+          continue;
         if (part.out() > 1) {
           withdraw_all(p, part.sent - 1);  // both are overdue: the older one makes room for a third
           continue;
@@ -908,8 +959,10 @@
         const int to = copies ? pick(part) : choose(part);
         if (to < 0 || estimate(rep(to), part.cost + call_cost) > 2 * waited) continue;
         // Where no two may be out at once, the overdue send is withdrawn, and its end sends the part again.
-        if (copies) commit(p, to);
-        else withdraw_all(p);
+        if (copies)
+          commit(p, to);
+        else
+          withdraw_all(p);
       }
     }
   }
@@ -990,6 +1043,7 @@
   std::vector<OpType> op_types;
   std::vector<Customer> customers;
   double call_cost = 0;
+  int present = 1;  // op types that new multigets may have; behind them, those that some in hand still have
   int call_room = 1, cells = 1, width = 1, shards = 1, most_sends = 1, zone = 0;
   double peers = 1;
   Span tick{}, cold{}, cold_window{}, warm_counted_at = Span::min() / 2;
@@ -998,6 +1052,7 @@
   double crossing = 0;  // load that crossing zones adds, by the part's cost
   WindowCount taken;    // multigets and parts
   WindowCount further;  // sends beyond each part's first
+  WindowCount copied;   // and those while another was out
   Slab<Multiget> multigets;
   Slab<Part> parts;
   std::vector<int> hand;  // multigets in the order of their arrival
@@ -1018,8 +1073,8 @@
   bool planned = false, probing = false;
   std::uint64_t next_order = 0;
   double fleet_pace = 1;
-  double fleet_wait = 1;  // time that answers lately took for their own work
-  double allowances = 0, own_rate = 0;       // multigets a second; and counted, faded
+  double fleet_wait = 1;                // time that answers lately took for their own work
+  double allowances = 0, own_rate = 0;  // multigets a second; and counted, faded
   double mean_density = 0, mean_charge = 100'000, look_price = 0, look_time = 1000;
   double missed = 0.05;                      // share of own multigets not answered within the latency budget
   double fleet_foreign = 0, fleet_held = 1;  // others' work, and parts held, at a replica
@@ -1036,6 +1091,11 @@
 Choice::Choice(Choice&&) noexcept = default;
 Choice& Choice::operator=(Choice&&) noexcept = default;
 
+void Choice::renew(const Terms& terms) {
+  Mind(terms, 0);  // refuses what makes no sense before anything changes
+  mind_->renew(terms);
+}
+
 void Choice::clock(Span now) { mind_->clock(now); }
 void Choice::list_opens(bool whole, bool remembered) { mind_->list_opens(whole, remembered); }
 void Choice::list_row(const ListRow& row) { mind_->list_row(row); }
--- a/src/choice.h
+++ b/src/choice.h
@@ -21,6 +21,9 @@
   Choice(Choice&&) noexcept;
   Choice& operator=(Choice&&) noexcept;
 
+  // New terms, between turns; throws like the constructor, and then changes nothing.
+  void renew(const Terms& terms);
+
   // What has become known. The clock comes first in each turn.
   void clock(Span now);
   void list_opens(bool whole, bool remembered);
--- a/src/clients/ask.cpp
+++ b/src/clients/ask.cpp
@@ -81,6 +81,7 @@
   if (!patience || *patience <= 0 || *patience > kLongestPatience)
     refuse("x-deadline-ms: not whole milliseconds above 0");
   out.patience = std::chrono::milliseconds(*patience);
+  if (const std::string* mark = from.header("x-retry"); mark != nullptr) out.repeated = *mark == "1";
   const json body = config::parse(from.body);
   for (const json& one : config::array(body, "slices")) out.pieces.push_back(piece(one, carriage));
   if (out.pieces.empty()) refuse("slices: empty");
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -24,8 +24,9 @@
 struct Ask {
   std::string id;
   int op_type = 0;
-  int customer = -1;  // none that the terms name
-  Span patience{};    // from when the client sent it
+  int customer = -1;      // none that the terms name
+  Span patience{};        // from when the client sent it
+  bool repeated = false;  // the client says that it has tried before
   std::vector<Piece> pieces;
   std::shared_ptr<const std::string> text;  // what every part carries
 };
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-Gatherer::Gatherer(const config::Commission& commission)
+Gatherer::Gatherer(config::Commission& commission)
     : commission_(commission),
       discovery_(commission.discovery),
       unix_start_((loop_.read_clock(), unix_now() - loop_.now())),
@@ -154,24 +154,56 @@
 }
 
 void Gatherer::reload(const config::Commission& fresh) {
-  Choice(fresh.terms, fresh.seed);  // checks them
+  Choice(fresh.terms, fresh.seed);  // checks them before anything is changed
   const auto waits = [](bool differs, const std::string& key) {
     if (differs) log::event(log::Level::warning, "configuration.waits_for_start", {{"key", key}});
   };
   waits(fresh.name != commission_.name, "name");
   waits(fresh.listen != commission_.listen, "listen");
   waits(fresh.sockets != commission_.sockets, "limits.sockets");
-  for (const auto* terms : {&fresh.terms, &commission_.terms}) {
-    const Terms& others = terms == &fresh.terms ? commission_.terms : fresh.terms;
+  const bool ask_anew = renew(fresh);
+  log::event(log::Level::info, "configuration.read_again", {{"discovery", fresh.discovery_host}});
+  if (fresh.discovery != discovery_ || ask_anew) watch_.move(fresh.discovery, fresh.discovery_host);
+  discovery_ = fresh.discovery;
+}
+
+// The settings change between two turns, at once for the module and for all that carries out what it decides;
+// true: zones or cells have other names, so the list has to be read under these. What has been gathered was
+// read under the old settings and is handed over first.
+bool Gatherer::renew(const config::Commission& fresh) {
+  const config::Carriage& to = fresh.carriage;
+  config::Carriage& from = commission_.carriage;
+  std::size_t changed = 0;
+  const Terms& present = commission_.terms;
+  for (const auto* terms : {&fresh.terms, &present}) {
+    const Terms& others = terms == &fresh.terms ? present : fresh.terms;
     for (const auto& [name, term] : *terms) {
       const auto at = others.find(name);
-      if (at == others.end() || (terms == &fresh.terms && at->second != term))
-        waits(true, "settings." + name);
+      if (at != others.end() && (terms != &fresh.terms || at->second == term)) continue;
+      log::event(log::Level::info, "configuration.setting_changes", {{"key", "settings." + name}});
+      changed += 1;
     }
   }
-  log::event(log::Level::info, "configuration.read_again", {{"discovery", fresh.discovery_host}});
-  if (fresh.discovery != discovery_) watch_.move(fresh.discovery, fresh.discovery_host);
-  discovery_ = fresh.discovery;
+  if (changed == 0) return false;
+  const auto same = [](const config::OpName& a, const config::OpName& b) {
+    return a.name == b.name && a.once == b.once && a.second_step == b.second_step && a.floor == b.floor;
+  };
+  if (!more_fronts_.empty() &&
+      !std::equal(to.op_types.begin(), to.op_types.end(), from.op_types.begin(), from.op_types.end(), same)) {
+    // Result sets that are open hang on them.
+    log::event(log::Level::warning, "configuration.waits_for_start", {{"key", "settings"}});
+    return false;
+  }
+  hand_over();
+  carry_out();
+  choice_.renew(fresh.terms);
+  const bool ask_anew = to.zones != from.zones || to.cells != from.cells;
+  const bool pushed_now = from.list_is_asked && !to.list_is_asked;
+  commission_.terms = fresh.terms;
+  from = to;
+  if (pushed_now) watch_.ask(true);
+  log::event(log::Level::info, "configuration.settings_taken", {{"changed", changed}, {"in_hand", open_}});
+  return ask_anew;
 }
 
 void Gatherer::operate(const operator_file::Terms& terms) {
@@ -287,7 +319,9 @@
   mg.front = from;
   mg.caller = asked.caller;
   mg.wire_id = ask.id;
-  mg.op_type = ask.op_type;
+  const config::OpName& op = commission_.carriage.op_types[static_cast<std::size_t>(ask.op_type)];
+  mg.second_step = op.second_step;
+  mg.once = op.once;
   mg.text = ask.text;
   for (const front::Piece& piece : ask.pieces) {
     mg.pieces.push_back({piece.shard, piece.mass, piece.key, piece.hint, 0, false, 0, {}});
@@ -301,7 +335,7 @@
   const Span client_leaves = asked.sent_by + ask.patience;
   choice_.multiget_taken({id, static_cast<double>(number), ask.op_type, ask.customer,
                           static_cast<int>(mg.pieces.size()),
-                          leave_by_ ? std::min(client_leaves, *leave_by_) : client_leaves});
+                          leave_by_ ? std::min(client_leaves, *leave_by_) : client_leaves, ask.repeated});
   hand_parts(mg);
 }
 
@@ -365,7 +399,7 @@
       errand.more = ",from=" + mg->from + (mg->first_whole ? ",whole=1" : ",whole=0");
     }
     errand.shard = piece.shard;
-    errand.once = commission_.carriage.op_types[static_cast<std::size_t>(mg->op_type)].once;
+    errand.once = mg->once;
     errand.text = mg->text;
     errand.not_past = send->not_past;
     errand.pulled = loop_.now();
@@ -410,8 +444,7 @@
 }
 
 void Gatherer::answered(InHand& mg, const Verdict& verdict) {
-  const config::OpName& op = commission_.carriage.op_types[static_cast<std::size_t>(mg.op_type)];
-  if (verdict.ending == Ending::answer && mg.step == 1 && op.second_step > 0) {
+  if (verdict.ending == Ending::answer && mg.step == 1 && mg.second_step > 0) {
     return second_step(mg, verdict.whole);
   }
   const std::uint64_t caller = std::exchange(mg.caller, 0);
@@ -444,7 +477,6 @@
 
 // The first answer is followed by further parts, at the shards that scored highest among those that are in.
 void Gatherer::second_step(InHand& mg, bool whole) {
-  const config::OpName& op = commission_.carriage.op_types[static_cast<std::size_t>(mg.op_type)];
   std::vector<std::pair<double, int>> in;
   std::vector<int> shards;
   for (const Piece& piece : mg.pieces) {
@@ -454,7 +486,7 @@
   }
   std::sort(in.begin(), in.end());
   std::sort(shards.begin(), shards.end());
-  in.resize(std::min(in.size(), static_cast<std::size_t>(op.second_step)));
+  in.resize(std::min(in.size(), static_cast<std::size_t>(mg.second_step)));
   for (const int shard : shards) {
     if (!mg.from.empty()) mg.from += '+';
     mg.from += std::to_string(shard);
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -24,7 +24,8 @@
 
 class Gatherer {
  public:
-  explicit Gatherer(const config::Commission& commission);
+  // Outlived by the commission, whose settings change with reload().
+  explicit Gatherer(config::Commission& commission);
 
   // A further front beside the platform's; before the first turn.
   void add(std::unique_ptr<front::Front> front);
@@ -36,8 +37,9 @@
   bool turn();
   // A planned stop: clients that are connected are served for a while yet, what was taken is finished.
   void leave();
-  // The configuration read anew: what can change while running is taken, the rest is named in the log.
-  // Throws, and changes nothing, where the terms make no sense.
+  // The configuration read anew: settings and discovery are taken, the rest is named in the log. What was
+  // taken in is finished under the settings it came under. Throws, and changes nothing, where they make no
+  // sense.
   void reload(const config::Commission& fresh);
   // The operator's own terms, at the start and whenever they were read again.
   void operate(const operator_file::Terms& terms);
@@ -65,7 +67,8 @@
     std::size_t front = 0;
     std::uint64_t caller = 0;  // 0 once it has its final answer or its client has left
     std::string wire_id;
-    int op_type = 0;
+    int second_step = 0;  // by the settings it was taken under, as is the next
+    bool once = false;
     int step = 1;
     bool first_whole = false;
     bool over = false;
@@ -100,7 +103,9 @@
   void list_came(list::News&& news);
   carrier::Carrier* carrier_of(std::string_view server);
 
-  const config::Commission& commission_;
+  bool renew(const config::Commission& fresh);
+
+  config::Commission& commission_;
   net::Address discovery_;  // the one of the newest configuration
   net::Loop loop_;
   Span unix_start_;
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -20,6 +20,7 @@
 enum class Repeat { retriable, deduped, non_retriable };
 
 struct OpType {
+  std::string name;
   Repeat repeat = Repeat::retriable;
   Span latency_budget{};
   Span route_timeout{};
@@ -80,7 +81,7 @@
   Rid id;
   double number = 0;
   int op_type = 0;
-  int customer = 0;
+  int cells = 1, width = 1;  // the layout of the shards when it was taken
   Span taken{};
   Span last_moment{};  // when the final answer is due at the latest
   double importance = 1;
--- a/src/model/window_count.h
+++ b/src/model/window_count.h
@@ -12,7 +12,17 @@
 
 class WindowCount {
  public:
-  void set(Span window) { slice_ = std::max(window / kSlices, Span(1)); }
+  // A window of another length starts with so many events, all as if just now. What a longer one would still
+  // hold is not known, so it starts full for one length of itself unless nothing was counted.
+  void set(Span window, Span now, double kept) {
+    const Span slice = std::max(window / kSlices, Span(1));
+    if (slice == slice_) return;
+    if (slice > slice_ && kept > 0) kept = kUnknown;
+    slice_ = slice;
+    counts_.fill(0);
+    add(now);
+    counts_[static_cast<std::size_t>((now / slice_) % kPlaces)] = kept;
+  }
 
   void add(Span now) {
     const std::int64_t present = now / slice_;
@@ -32,6 +42,7 @@
 
  private:
   static constexpr std::int64_t kSlices = 50;
+  static constexpr double kUnknown = 1e9;
   static constexpr std::int64_t kPlaces = kSlices + 1;
 
   double sum(Span now, std::int64_t oldest) const {
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -1,5 +1,6 @@
 // Traces of the decision module, one case a run; the kept ones are in traces/.
 #include <cstring>
+#include <stdexcept>
 
 #include "bench_free.h"
 
@@ -402,6 +403,196 @@
   std::printf("sends by 100 gatherers in a window: %d\n", sent);
 }
 
+// Where no two sends of a part may be out together, an overdue one is withdrawn, and only its end sends the
+// part again: not at all once the window of a deduped one is over. An answer that crosses the withdrawal
+// counts.
+void moved_not_copied() {
+  Terms terms = ordinary_terms();
+  terms["limits.second-copies"] = false;
+  terms["categories.0.effect"] = std::string("by_key");
+  terms["categories.0.key-ttl"] = 2e6;
+  for (const Span end : {1500ms, 2100ms}) {
+    Gatherer g(terms);
+    g.list("AB");
+    g.take("m", "a");
+    g.decide();
+    g.until(end);
+    g.at(end + 5ms);
+    g.say("-- the withdrawn send has ended");
+    g.ended("ma", Fate::revoked, 0, end);
+    g.decide();
+  }
+  Gatherer g(terms);
+  g.list("AB");
+  g.take("m", "a");
+  g.decide();
+  g.until(1500ms);
+  g.at(1505ms);
+  g.say("-- its answer was under way");
+  g.ended("ma", Fate::returned, 0, 1500ms);
+  g.decide();
+}
+
+// A replica that is overdue is asked. One that answers has much to do and keeps the part; one that is silent
+// to that as well loses it.
+void silence_moves() {
+  Terms terms = ordinary_terms();
+  terms["limits.second-copies"] = false;
+  terms["limits.probing"] = true;
+  terms["prices.probe"] = 1.0;
+  for (const bool answers : {true, false}) {
+    Gatherer g(terms);
+    g.say(answers ? "-- answers when asked" : "-- silent when asked");
+    g.list("AB");
+    g.take("m", "a");
+    const std::string to = g.decide();
+    g.until(450ms);
+    if (answers) g.asked(to, Fate::returned, 4);
+    g.until(700ms);
+  }
+}
+
+// What may be answered in part is, before the latency budget is over: a late answer is worth little.
+void partial_in_time() {
+  Terms terms = ordinary_terms();
+  terms["specifics.class-floor.0"] = 0.7;
+  terms["specifics.short-worth.0"] = 0.9;
+  terms["categories.0.objective"] = 1e6;
+  for (const int in : {2, 3}) {
+    Gatherer g(terms);
+    g.say("-- parts in: " + std::to_string(in));
+    g.list("AB");
+    g.take("m", "abcd");
+    g.decide();
+    g.quiet = true;
+    for (int i = 0; i < in; ++i) g.ended(std::string("m") + static_cast<char>('a' + i), Fate::returned);
+    g.until(970ms);
+    g.quiet = false;
+    g.until(1010ms);
+  }
+}
+
+// One part that none can return soon pushes a multiget back only where an answer needs it.
+void expected_for_an_answer() {
+  for (const double floor : {0.7, 1.0}) {
+    Terms terms = ordinary_terms();
+    terms["specifics.class-floor.0"] = floor;
+    terms["specifics.short-worth.0"] = 0.9;
+    terms["specifics.sets"] = 4.0;
+    Gatherer g(terms);
+    for (int cell = 0; cell < 3; ++cell) {  // nobody is up in the last one
+      ListRow row;
+      row.server = std::string(1, static_cast<char>('A' + cell));
+      row.cell = cell;
+      g.choice().list_opens(false, false);
+      g.choice().list_row(row);
+      g.choice().list_closes();
+    }
+    g.take("m", "abcd");
+    g.decide();
+  }
+}
+
+// A customer's share is split by the traffic that a gatherer has: one that takes four times the mean does not
+// push back what is inside the customers' shares. In a jam, what is beyond goes first.
+void shares_by_traffic() {
+  Terms terms = ordinary_terms();
+  terms["over-share-worth"] = 0.1;
+  terms["replicas-of-me"] = 8.0;
+  for (int i = 0; i < 2; ++i) {
+    const std::string at = "customers." + std::to_string(i);
+    terms[at + ".name"] = std::string(i == 0 ? "one" : "two");
+    terms[at + ".allowance-per-s"] = 0.5;
+  }
+  for (const int of_one : {2, 3}) {  // in four multigets
+    Gatherer g(terms);
+    g.quiet = true;
+    g.list("AB");
+    int back[2] = {0, 0};
+    for (int i = 0; i < 160; ++i) {
+      const Span start = i * 2s;
+      g.at(start);
+      const std::string name =
+          std::string("m") + static_cast<char>('a' + i / 20) + static_cast<char>('a' + i % 20);
+      const int customer = i % 4 < of_one ? 0 : 1;
+      g.choice().multiget_taken({rid(name), 1000.0 + i, 0, customer, 1, start + 4s});
+      g.choice().part_taken({rid(name + 'a'), 1000.0 + i, 0, 1.0, 0, 100ms});
+      while (const auto v = g.choice().next_verdict())
+        back[customer] += v->ending == Ending::push_back ? 1 : 0;
+      g.decide();
+      g.at(start + 700ms);
+      g.ended(name + 'a', Fate::returned, 0, 700ms);
+      g.decide();
+    }
+    std::printf("%d of 4 are of one: pushed back %d of one, %d of two\n", of_one, back[0], back[1]);
+  }
+}
+
+// New terms: what is in hand ends under the old ones, nothing of it is sent twice, two sends of a part do not
+// stay out together where that is no longer allowed, and what was sent counts against the new budget. The way
+// back is the same step. Terms that make no sense change nothing.
+void renewed() {
+  Terms before = ordinary_terms();
+  Terms after = before;
+  after["limits.second-copies"] = false;
+  after["categories.0.effect"] = std::string("once");
+  after["categories.0.objective"] = 1e6;
+  after["categories.1.deadline"] = 4e6;
+  after["categories.1.objective"] = 1e6;
+  after["categories.1.effect"] = std::string("repeatable");
+  after["specifics.class-floor.1"] = 0.5;
+  after["specifics.short-worth.1"] = 0.9;
+  after["specifics.sets"] = 2.0;
+  after["contract.resend-span"] = 10e6;
+  after["contract.extra-floor"] = 1.0;
+  after["contract.extra-per-request"] = 0.0;
+  Gatherer g(before);
+  g.list("AB");
+  g.take("m", "a");
+  g.take("o", "a", 100, 0, 1);
+  g.decide();
+  g.ended("oa", Fate::app_error);
+  g.until(600ms);
+  Terms senseless = after;
+  senseless["limits.attempts-cap"] = 0.0;
+  try {
+    g.choice().renew(senseless);
+  } catch (const std::invalid_argument& wrong) {
+    g.say(std::string("refused: ") + wrong.what());
+  }
+  g.choice().renew(after);
+  g.say("-- new terms");
+  g.decide();
+  ListRow row;
+  row.server = "C";
+  row.cell = 1;
+  g.choice().list_opens(false, false);
+  g.choice().list_row(row);
+  g.choice().list_closes();
+  g.at(620ms);
+  g.ended("ma", Fate::revoked, 0, 620ms);
+  g.take("n", "ab", 100, 1);
+  g.take("u", "a", 100, 0);
+  g.decide();
+  g.at(700ms);
+  g.say("-- errors: of one in hand since before, of one of the new terms, of one that is not to be repeated");
+  for (const char* part : {"oa", "na", "ua"}) g.ended(part, Fate::app_error, *part == 'o' ? 1 : 0);
+  g.decide();
+  g.choice().renew(before);
+  g.at(800ms);
+  g.say("-- the way back");
+  g.decide();
+  g.at(900ms);
+  g.ended("oa", Fate::returned, 2);
+  g.ended("nb", Fate::returned);
+  g.ended("ma", Fate::returned, 1);
+  g.take("p", "a");
+  g.decide();
+  g.at(950ms);
+  g.ended("pa", Fate::returned);
+  g.until(1700ms);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -426,5 +617,11 @@
   if (which == "looks") looks();
   if (which == "quick_failures") quick_failures();
   if (which == "cold_turns") cold_turns();
+  if (which == "moved_not_copied") moved_not_copied();
+  if (which == "silence_moves") silence_moves();
+  if (which == "partial_in_time") partial_in_time();
+  if (which == "expected_for_an_answer") expected_for_an_answer();
+  if (which == "shares_by_traffic") shares_by_traffic();
+  if (which == "renewed") renewed();
   return 0;
 }
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -174,25 +174,41 @@
 struct Scene {
   explicit Scene(const std::string& entries, const std::string& connect_timeout = "20000000",
                  const std::string& budget = "30000000", const std::string& tick = "5000")
-      : commission(config::read_commission(
-            R"({"name":"n0","listen":")" + address(1) + R"(","discovery":")" + address(2) +
-            R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" +
-            entries +
-            R"(]},"settings":{"categories":[
+      : text(R"({"name":"n0","listen":")" + address(1) + R"(","discovery":")" + address(2) +
+             R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" +
+             entries +
+             R"(]},"settings":{"categories":[
               {"name":"draft","deadline":60000000,"objective":)" +
-            budget + R"(,"effect":"repeatable"},
+             budget + R"(,"effect":"repeatable"},
               {"name":"issue","deadline":60000000,"objective":)" +
-            budget + R"(,"effect":"once"}],
+             budget + R"(,"effect":"once"}],
             "zones":["a"],"telemetry":{"fields":["cpu"],"how":"on_probe"},"registry-mode":"ask","replicas-of-me":1,
             "specifics":{"slabs":4,"sets":1,"width":1,"bundle-max":16,"overhead":80000,"second-step":[2,0],
               "class-floor":[1,1],"complete-from":[1,1]},
             "limits":{"max-open":9,"streams-per-conn":100,"connect-timeout":)" +
-            connect_timeout + R"(,"conn-idle":60000000,
+             connect_timeout + R"(,"conn-idle":60000000,
               "attempts-cap":3,"cancel":true,"second-copies":true,"retry-after":true,"max-retry-after":1000000},
             "tick":)" +
-            tick + R"(,"contract":{"ask-every":10000000}}})")),
+             tick + R"(,"contract":{"ask-every":10000000}}})"),
+        commission(config::read_commission(text)),
         gatherer(commission) {}
 
+  // The configuration read again with these changes of its text.
+  void reload(const std::vector<std::pair<std::string, std::string>>& changes) {
+    std::string fresh = text;
+    for (const auto& [from, to] : changes) {
+      const std::size_t at = fresh.find(from);
+      if (at == std::string::npos) return say("NOTHING TO CHANGE: " + from);
+      fresh.replace(at, from.size(), to);
+    }
+    try {
+      gatherer.reload(config::read_commission(fresh));
+      say("-- read again");
+    } catch (const std::exception& wrong) {
+      say(std::string("-- refused: ") + wrong.what());
+    }
+  }
+
   void until(const char* what, const std::function<bool()>& holds) {
     const auto end = std::chrono::steady_clock::now() + 20s;
     for (;;) {
@@ -219,6 +235,7 @@
     say(std::string(name) + " gets " + client.answer());
   }
 
+  std::string text;
   config::Commission commission;
   std::vector<Host*> hosts;
   gatherer::Gatherer gatherer;
@@ -389,6 +406,46 @@
   sent("m4");
 }
 
+// Settings change in a running gatherer: a multiget in hand ends under those it came under, second step and
+// all; new ones are read under the new; nothing is sent twice, and the way back is the same step. A file that
+// makes no sense changes nothing.
+void settings_switched() {
+  Leaf leaf(11);
+  Scene scene(entry("A", 11));
+  scene.hosts = {&leaf};
+  Client before, during, after;
+  before.send("m1", "draft", kTwo);
+  const auto m1 = scene.next(leaf, "leaf");
+  scene.reload({{R"("attempts-cap":3)", R"("attempts-cap":0)"}});
+  const std::vector<std::pair<std::string, std::string>> other = {
+      {R"("draft","deadline")", R"("search","deadline")"},
+      {R"("effect":"repeatable")", R"("effect":"by_key","key-ttl":4000000)"},
+      {R"("class-floor":[1,1])", R"("class-floor":[0.4,1])"},
+      {R"("second-step":[2,0])", R"("short-worth":[0.9,0.9])"},
+      {R"("second-copies":true)", R"("second-copies":false)"}};
+  scene.reload(other);
+  during.send("m2", "draft", kOne);
+  scene.answered(during, "a client of the old name");
+  during.send("m3", "search", kTwo);
+  const auto m3 = scene.next(leaf, "leaf");
+  leaf.answer(m1.wire, "m1.1", "S 1 -", "a");
+  leaf.answer(m1.wire, "m1.3", "S 2 -", "b");
+  const auto second = scene.next(leaf, "leaf");
+  leaf.answer(second.wire, "m1.1.phase2", "S 0 -", "c");
+  leaf.answer(second.wire, "m1.3.phase2", "S 0 -", "d");
+  scene.answered(before, "the client in hand");
+  scene.reload({});
+  after.send("m4", "draft", kOne);
+  const auto m4 = scene.next(leaf, "leaf");
+  leaf.answer(m3.wire, "m3.1", "S 1 -", "e");
+  leaf.answer(m3.wire, "m3.3", "S 2 -", "f");
+  scene.answered(during, "the client of the time between");
+  leaf.answer(m4.wire, "m4.1", "S 1 -", "g");
+  scene.next(leaf, "leaf");
+  say("frames besides: " + std::to_string(leaf.got.size()));
+  say("connections opened: " + std::to_string(leaf.opened));
+}
+
 // A new configuration names another place for the list while a call waits at the old one: it is asked at
 // once, from the beginning, and what it does not name is gone.
 void list_moved() {
@@ -619,6 +676,7 @@
                                                       {"copy_under_way", copy_under_way},
                                                       {"list_watched", list_watched},
                                                       {"list_moved", list_moved},
+                                                      {"settings_switched", settings_switched},
                                                       {"planned_stop", planned_stop},
                                                       {"stop_serves_on", stop_serves_on},
                                                       {"client_waits", client_waits},
