--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -104,14 +104,16 @@
   relist();
 }
 
-// What the news means for the connections that are open.
+// What the news means for the connections that are open or being opened. What waits for one to a server that
+// drains or is gone would be written when it comes up, long after that was told: it ends as never sent.
 void Servers::relist() {
-  std::vector<Link*> unwanted;
+  std::vector<Link*> unwanted, too_late;
   for (const auto& [number, link] : links_) {
     link->current = link->race ? up_.contains(link->server) : book_.usable(link->server, link->address);
-    if (!wanted(*link)) unwanted.push_back(link.get());
+    if (!wanted(*link)) (link->race ? too_late : unwanted).push_back(link.get());
   }
   for (Link* link : unwanted) rest(*link);
+  for (Link* link : too_late) broke(*link, false);
   plan_trials();
 }
 
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -406,6 +406,28 @@
   sent("m4");
 }
 
+// A part waits for a connection to a server that then drains: it would be written whenever that comes up, so
+// it ends as never sent and goes to another, though it may not be repeated.
+void drains_while_dialled() {
+  Leaf b(12);
+  Discovery discovery(2);
+  net::Descriptor full = net::listen_on(*net::parse_address(address(11)));
+  if (listen(full.get(), 0) != 0) say("CANNOT LISTEN");
+  std::vector<net::Descriptor> fillers;  // who waits to be accepted; nobody else comes in
+  for (int i = 0; i < 2; ++i) fillers.push_back(net::start_connect(*net::parse_address(address(11))));
+  Scene scene(entry("A", 11));
+  scene.hosts = {&b, &discovery};
+  scene.until("the first call", [&] { return !discovery.asked.empty(); });
+  Client client;
+  client.send("m1", "issue", kOne);
+  scene.until("a dial", [&] { return scene.gatherer.tally().sends > 0; });
+  discovery.answer(R"({"index":5,"snapshot":false,"endpoints":[)" + entry("A", 11, "draining") + "," +
+                   entry("B", 12) + "]}");
+  const auto got = scene.next(b, "B");
+  b.answer(got.wire, "m1.1", "S 1 -", "v");
+  scene.answered(client, "client");
+}
+
 // Settings change in a running gatherer: a multiget in hand ends under those it came under, second step and
 // all; new ones are read under the new; nothing is sent twice, and the way back is the same step. A file that
 // makes no sense changes nothing.
@@ -677,6 +699,7 @@
                                                       {"list_watched", list_watched},
                                                       {"list_moved", list_moved},
                                                       {"settings_switched", settings_switched},
+                                                      {"drains_while_dialled", drains_while_dialled},
                                                       {"planned_stop", planned_stop},
                                                       {"stop_serves_on", stop_serves_on},
                                                       {"client_waits", client_waits},
