A cold server's budget is counted from what warm ones answered; all failed, a part rests

Now only answered sends count. The sends themselves came from parts going round their failed replicas every 2 ms until their four were spent: after all have failed, a part rests 100 ms for each of its sends.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -47,6 +47,7 @@
 constexpr Span kGlance = 10ms;            // how often what is in hand is looked over
 constexpr double kOverdue = 4;            // multiple of its expectation at which a send is due a copy
 constexpr double kMoved = 6;              // and at which it is moved, where no copy may go beside it
+constexpr Span kRest = 100ms;             // before a part goes round its replicas again, by its sends
 constexpr double kDoubted = 3;            // or at this, if the replica is silent when asked
 constexpr Span kSilent = 100ms;           // a look that is out for so long counts as that
 constexpr double kPaceGain = 0.2;         // weight of the newest answer in a replica's pace
@@ -435,6 +436,10 @@
         learn_pace(r, ratio);
         fleet_wait += kWaitGain * (micros(elapsed) / (part.cost + call_cost) - fleet_wait);
         learn_work(type_of(mg), s, part, elapsed);
+        if (warmth(r) >= 1) {
+          warm_flow = warm_flow * fade(now - flow_at, kFlowMemory) + s.charge;
+          flow_at = now;
+        }
         break;
       case Fate::app_error:
       case Fate::dropped:
@@ -833,8 +838,11 @@
       }
       return false;
     };
-    if (part.out() > 0 || !std::all_of(candidates.begin(), candidates.end(), tried))
+    if (part.out() > 0 || !std::all_of(candidates.begin(), candidates.end(), tried)) {
       std::erase_if(candidates, tried);
+    } else if (part.sent > 0 && now < part.send(part.sent - 1).at + part.sent * kRest) {
+      return -1;
+    }
     if (candidates.empty()) return -1;
     double best = 0;
     for (Candidate& c : candidates) {
@@ -890,12 +898,7 @@
     if (part.sent > 1) further.add(now);
     if (part.out() > 1) copied.add(now);
     r.assigned += cost;
-    if (warmth(r) < 1) {
-      r.cold_sends[r.cold_next++ % r.cold_sends.size()] = {now, cost};
-    } else {
-      warm_flow = warm_flow * fade(now - flow_at, kFlowMemory) + cost;
-      flow_at = now;
-    }
+    if (warmth(r) < 1) r.cold_sends[r.cold_next++ % r.cold_sends.size()] = {now, cost};
     mg.sends_out += 1;
     had_of(part.shard, to) += had_unit;
     plan.push_back({part.id, r.server, mg.last_moment});
@@ -1078,7 +1081,7 @@
   double mean_density = 0, mean_charge = 100'000, look_price = 0, look_time = 1000;
   double missed = 0.05;                      // share of own multigets not answered within the latency budget
   double fleet_foreign = 0, fleet_held = 1;  // others' work, and parts held, at a replica
-  double warm_flow = 0;                      // own cost sent to warm replicas, faded
+  double warm_flow = 0;                      // own cost that warm replicas answered for, faded
   std::array<double, 4> unit{};              // parts in hand that one of each reported value stands for
   bool list_remembered = false, watching = false;
   std::optional<Span> asked_at, wake_set;
