--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -593,6 +593,50 @@
   g.until(1700ms);
 }
 
+// A part that all its replicas have failed rests before it goes round again: sends to a server that is not
+// there fail within a millisecond, and would all be spent before it can be back.
+void rests() {
+  Gatherer g(ordinary_terms());
+  g.list("AB");
+  g.take("m", "a");
+  for (int i = 0, send = 0; i < 100; ++i) {
+    g.at(i * 10ms);
+    if (g.decide() != "") g.ended("ma", Fate::dial_failed, send++, 1ms);
+  }
+}
+
+// What a cold server may be sent follows what warm ones answer for. Sends that found nobody there, many a
+// second while servers are away, say nothing of what a server carries.
+void cold_share_by_answers() {
+  for (const Fate fate : {Fate::returned, Fate::dial_failed}) {
+    Terms terms = ordinary_terms();
+    terms["replicas-of-me"] = 1000.0;
+    terms["categories.0.deadline"] = 40e6;
+    terms["categories.0.objective"] = 40e6;
+    Gatherer g(terms);
+    g.quiet = true;
+    g.list("A");
+    for (int i = 0; i < 40; ++i) {
+      const std::string name =
+          std::string("m") + static_cast<char>('a' + i / 20) + static_cast<char>('a' + i % 20);
+      g.at(i * 100ms);
+      g.take(name, "a", 100, 0, 0, 40s);
+      g.decide();
+      g.ended(name + "a", fate, 0, 1ms);
+    }
+    g.list("A", Standing::gone);
+    g.list("B", Standing::up, 4s);
+    int sent = 0;
+    g.at(4s);
+    g.take("n", "abcd", 100, 0, 0, 40s);
+    while (g.choice().next_verdict()) {
+    }
+    while (const auto send = g.choice().next_send()) sent += plain(send->part)[0] == 'n' ? 1 : 0;
+    std::printf("to a cold server, once others %s: %d\n",
+                fate == Fate::returned ? "answered" : "were not there", sent);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -623,5 +667,7 @@
   if (which == "expected_for_an_answer") expected_for_an_answer();
   if (which == "shares_by_traffic") shares_by_traffic();
   if (which == "renewed") renewed();
+  if (which == "rests") rests();
+  if (which == "cold_share_by_answers") cold_share_by_answers();
   return 0;
 }
