--- a/tests/parser_traces.cpp
+++ b/tests/parser_traces.cpp
@@ -216,6 +216,7 @@
     const clients::Ask& a = std::get<clients::Ask>(read);
     std::printf("%-18s %s, op type %d, customer %d, %lld us, '%s'", name, a.id.c_str(), a.op_type, a.customer,
                 static_cast<long long>(a.patience.count()), shown(*a.text).c_str());
+    if (a.repeated) std::printf(", a repeat");
     for (const clients::Piece& p : a.pieces) {
       std::printf("; %d %.2f %llx %lld", p.shard, p.mass, static_cast<unsigned long long>(p.key),
                   static_cast<long long>(p.hint.count()));
@@ -231,6 +232,8 @@
        "",
        {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-tenant", "q"}, {"x-deadline-ms", "1"}},
        ""});
+  ask("repeat", fine,
+      {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-deadline-ms", "1"}, {"x-retry", "1"}}, ""});
   ask("no id", fine, {"", "", "", {{"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
   ask("id with a space", fine,
       {"", "", "", {{"x-request-id", "a b"}, {"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
