--- a/tests/parser_traces.cpp
+++ b/tests/parser_traces.cpp
@@ -233,7 +233,11 @@
        {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-tenant", "q"}, {"x-deadline-ms", "1"}},
        ""});
   ask("repeat", fine,
-      {"", "", "", {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-deadline-ms", "1"}, {"x-retry", "1"}}, ""});
+      {"",
+       "",
+       "",
+       {{"x-request-id", "i"}, {"x-class", "draft"}, {"x-deadline-ms", "1"}, {"x-retry", "1"}},
+       ""});
   ask("no id", fine, {"", "", "", {{"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
   ask("id with a space", fine,
       {"", "", "", {{"x-request-id", "a b"}, {"x-class", "draft"}, {"x-deadline-ms", "1"}}, ""});
