--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -180,7 +180,8 @@
       op.route_timeout = contract.time(at + "deadline", 0s);
       if (op.route_timeout <= 0s) Contract::refuse(at + "deadline", "must be above 0");
       op.latency_budget = std::min(contract.time(at + "objective", op.route_timeout), op.route_timeout);
-      op.dedupe_window = contract.time(at + "key-ttl", 0s);
+      // A send may wait so long for its connection, and has to leave inside the window all the same.
+      op.dedupe_window = contract.time(at + "key-ttl", 0s) - contract.time("limits.connect-timeout", 0s);
       op.importance = contract.at_least(at + "worth", 1, 0);
       op.late_share = contract.share(at + "late-share", 0);
       op.floor = contract.share("specifics.class-floor" + place, 1);
--- a/src/config/commission.cpp
+++ b/src/config/commission.cpp
@@ -73,6 +73,9 @@
                             read.has("specifics.class-floor." + std::to_string(i))
                                 ? read.number("specifics.class-floor." + std::to_string(i), 0, 1)
                                 : 1.0});
+    const std::string need = "specifics.complete-from." + std::to_string(i);
+    if (out.op_types.back().floor > (read.has(need) ? read.number(need, 0, 1) : 1.0))
+      Contract::refuse("specifics.class-floor." + std::to_string(i), "is above what a whole answer needs");
     const Span timeout = read.time(at + "deadline");
     out.longest_timeout = std::max(out.longest_timeout, timeout);
     const Span budget = read.has(at + "objective") ? read.time(at + "objective") : timeout;
