--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -105,7 +105,8 @@
 }
 
 // What the news means for the connections that are open or being opened. What waits for one to a server that
-// drains or is gone would be written when it comes up, long after that was told: it ends as never sent.
+// drains or is gone would not be written when it comes up (pump); it does not wait for that, but ends as
+// never sent, to go to another while there is time.
 void Servers::relist() {
   std::vector<Link*> unwanted, too_late;
   for (const auto& [number, link] : links_) {
@@ -113,7 +114,10 @@
     if (!wanted(*link)) (link->race ? too_late : unwanted).push_back(link.get());
   }
   for (Link* link : unwanted) rest(*link);
-  for (Link* link : too_late) broke(*link, false);
+  for (Link* link : too_late) {
+    while (!link->outs.empty()) settle(*link, std::string(link->outs.begin()->first), Fate::unused);
+    broke(*link, false);
+  }
   plan_trials();
 }
 
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -406,8 +406,8 @@
   sent("m4");
 }
 
-// A part waits for a connection to a server that then drains: it would be written whenever that comes up, so
-// it ends as never sent and goes to another, though it may not be repeated.
+// A part waits for a connection to a server that then drains: it must not wait for that to come up or fail, but
+// ends as never sent and goes to another, though it may not be repeated.
 void drains_while_dialled() {
   Leaf b(12);
   Discovery discovery(2);
