Gatherers tell a keeper their events and totals through a pipe; sockets may be inherited

Cause: what runs a gatherer could learn nothing from it but log lines meant for people, and nothing of two gatherers could be compared.

With MARBLEDYKE_LISTEN_FD the socket that clients connect to is inherited. Time is read through one interface (src/model/clock.h).

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -37,8 +37,11 @@
 };
 
 Clients::Clients(net::Loop& loop, const config::Carriage& carriage, const net::Address& listen,
-                 std::size_t most)
-    : loop_(loop), carriage_(carriage), listener_(net::listen_on(listen)), most_(most) {
+                 std::size_t most, net::Descriptor listening)
+    : loop_(loop),
+      carriage_(carriage),
+      listener_(listening ? std::move(listening) : net::listen_on(listen)),
+      most_(most) {
   if (!listener_) throw std::system_error(errno, std::generic_category(), "listen");
   place_ = loop_.watch(listener_.get(), *this);
   sweep();
--- a/src/clients/clients.h
+++ b/src/clients/clients.h
@@ -20,7 +20,9 @@
 class Clients final : public front::Front, public net::Watcher {
  public:
   // Throws std::system_error where the address cannot be listened on. `most` connections are held at a time.
-  Clients(net::Loop& loop, const config::Carriage& carriage, const net::Address& listen, std::size_t most);
+  // One that listens already may be given instead of being opened.
+  Clients(net::Loop& loop, const config::Carriage& carriage, const net::Address& listen, std::size_t most,
+          net::Descriptor listening = {});
   ~Clients() override;
 
   void answer(std::uint64_t caller, bool whole, const std::vector<Value>& values) override;
--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -1,10 +1,13 @@
 #include "command/serve.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/signalfd.h>
+#include <sys/socket.h>
 
 #include <cerrno>
 #include <cstdlib>
+#include <cstring>
 #include <exception>
 #include <functional>
 #include <iostream>
@@ -12,6 +15,7 @@
 #include <optional>
 #include <system_error>
 
+#include "events/pipe.h"
 #include "gatherer/gatherer.h"
 #include "log/log.h"
 #include "operator_file/helper.h"
@@ -38,9 +42,29 @@
   std::function<void(int)> told_;
 };
 
+// A keeper holds the socket that clients connect to, so that they wait in its queue while one gatherer follows
+// another. None is inherited without one.
+net::Descriptor inherited_listener(const net::Address& listen) {
+  const char* const stated = std::getenv("MARBLEDYKE_LISTEN_FD");
+  if (stated == nullptr || *stated == '\0') return {};
+  net::Descriptor fd(std::atoi(stated));
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  sockaddr_storage own{}, wanted{};
+  socklen_t own_size = sizeof own;
+  const socklen_t wanted_size = listen.put(wanted);
+  if (getsockopt(fd.get(), SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0 ||
+      getsockname(fd.get(), reinterpret_cast<sockaddr*>(&own), &own_size) != 0 || own_size != wanted_size ||
+      std::memcmp(&own, &wanted, wanted_size) != 0)
+    throw config::BadInput("MARBLEDYKE_LISTEN_FD: not a socket that listens on " + listen.text());
+  fcntl(fd.get(), F_SETFD, FD_CLOEXEC);
+  fcntl(fd.get(), F_SETFL, O_NONBLOCK);
+  return fd;
+}
+
 class Server {
  public:
-  explicit Server(const ServeOptions& options)
+  Server(const ServeOptions& options, const TimeSource& clock)
       : options_(options), commission_(config::read_commission_file()) {
     std::optional<operator_file::Terms> terms;
     if (!options.operator_file.empty()) {
@@ -51,7 +75,12 @@
       terms = std::move(result.terms);
     }
     open_log(terms ? &*terms : nullptr);
-    gatherer_ = std::make_unique<gatherer::Gatherer>(commission_);
+    gatherer_ = std::make_unique<gatherer::Gatherer>(commission_, inherited_listener(commission_.listen), clock);
+    if (const char* path = std::getenv("MARBLEDYKE_EVENTS"); path != nullptr && *path != '\0') {
+      pipe_ = std::make_unique<events::Pipe>(gatherer_->loop(), path);
+      log::tap([this](const std::string& line) { pipe_->line(line); });
+      gatherer_->record([this](const std::string& line) { pipe_->line(line); });
+    }
     if (!terms) return;
     search_ = operator_file::text_of(terms->search);
     if (terms->search.any() || !terms->search.speakers.empty()) {
@@ -64,6 +93,10 @@
     gatherer_->operate(*terms);
   }
 
+  ~Server() { log::tap(nullptr); }
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
   int run(const sigset_t& heeded) {
     Signals signals(gatherer_->loop(), heeded, [this](int which) {
       if (which == SIGHUP) {
@@ -141,6 +174,7 @@
   const ServeOptions& options_;
   config::Commission commission_;
   std::unique_ptr<gatherer::Gatherer> gatherer_;
+  std::unique_ptr<events::Pipe> pipe_;  // to the keeper that started this process
   std::unique_ptr<operator_file::Reading> reading_;
   bool again_ = false;
   std::string search_;  // the terms of search that this start has
@@ -148,7 +182,7 @@
 
 }  // namespace
 
-int serve(const ServeOptions& options) {
+int serve(const ServeOptions& options, const TimeSource& clock) {
   // Before all else, so that one that comes in the middle of a start waits for its end.
   sigset_t heeded;
   sigemptyset(&heeded);
@@ -156,7 +190,7 @@
   sigprocmask(SIG_BLOCK, &heeded, nullptr);
   signal(SIGPIPE, SIG_IGN);
   try {
-    return Server(options).run(heeded);
+    return Server(options, clock).run(heeded);
   } catch (const std::exception& wrong) {
     std::cerr << "marbledyke: " << wrong.what() << '\n';
     return EXIT_FAILURE;
--- a/src/command/serve.h
+++ b/src/command/serve.h
@@ -22,6 +22,6 @@
 };
 
 // Until SIGTERM or SIGINT; gives the exit status.
-int serve(const ServeOptions& options);
+int serve(const ServeOptions& options, const TimeSource& clock = machine_clock());
 
 }  // namespace marbledyke::command
--- a/src/config/commission.cpp
+++ b/src/config/commission.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "model/measure.h"
 #include "model/terms.h"
 
 namespace marbledyke::config {
@@ -72,14 +73,17 @@
                             !read.has(at + "effect") || read.word(at + "effect") == "once",
                             read.has("specifics.class-floor." + std::to_string(i))
                                 ? read.number("specifics.class-floor." + std::to_string(i), 0, 1)
-                                : 1.0});
+                                : 1.0,
+                            {},
+                            read.has(at + "worth") ? read.number(at + "worth", 0, 1e300) : 1.0});
     const std::string need = "specifics.complete-from." + std::to_string(i);
     if (out.op_types.back().floor > (read.has(need) ? read.number(need, 0, 1) : 1.0))
       Contract::refuse("specifics.class-floor." + std::to_string(i), "is above what a whole answer needs");
     const Span timeout = read.time(at + "deadline");
     out.longest_timeout = std::max(out.longest_timeout, timeout);
     const Span budget = read.has(at + "objective") ? read.time(at + "objective") : timeout;
-    out.longest_budget = std::max(out.longest_budget, std::min(budget, timeout));
+    out.op_types.back().budget = std::min(budget, timeout);
+    out.longest_budget = std::max(out.longest_budget, out.op_types.back().budget);
   }
   if (out.op_types.empty()) Contract::refuse("categories", "missing");
   out.customers = read.words("customers", ".name");
@@ -136,6 +140,7 @@
     throw BadInput(std::string("settings.") + wrong.what());
   }
   out.log_level = log_level();
+  out.digest = hash_text(text_of_it);
   return out;
 }
 
--- a/src/config/commission.h
+++ b/src/config/commission.h
@@ -19,6 +19,8 @@
   int second_step = 0;  // parts that a first answer is followed by
   bool once = false;    // what may have run is never sent again
   double floor = 1;     // least share of parts for any answer
+  Span budget{};        // latency budget
+  double importance = 1;
 };
 
 // What carrying parts and answers takes: figures of the operators' terms, none of our own.
@@ -52,6 +54,7 @@
   json known;  // the list as last held, in discovery's form; null: none
   Terms terms;
   Carriage carriage;
+  std::uint64_t digest = 0;  // of the text it was read from
 };
 
 // From the text of the configuration; throws BadInput.
--- /dev/null
+++ b/src/events/pipe.cpp
@@ -0,0 +1,52 @@
+#include "events/pipe.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <system_error>
+
+namespace marbledyke::events {
+
+Pipe::Pipe(net::Loop& loop, const std::string& path)
+    : loop_(loop), fd_(open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) {
+  struct stat is {};
+  if (!fd_ || fstat(fd_.get(), &is) != 0) throw std::system_error(errno, std::generic_category(), path);
+  if (!S_ISFIFO(is.st_mode)) throw std::system_error(EINVAL, std::generic_category(), path);
+  place_ = loop_.watch(fd_.get(), *this);
+}
+
+Pipe::~Pipe() { loop_.forget(fd_.get(), place_); }
+
+void Pipe::line(std::string_view text) {
+  if (pending_.size() + text.size() + 1 > kMostPending) {
+    ++dropped_;
+    return;
+  }
+  pending_ += text;
+  pending_ += '\n';
+  flush();
+}
+
+void Pipe::ready(bool, bool) { flush(); }
+
+void Pipe::flush() {
+  while (!pending_.empty()) {
+    const ssize_t put = write(fd_.get(), pending_.data(), pending_.size());
+    if (put > 0) {
+      pending_.erase(0, static_cast<std::size_t>(put));
+    } else if (errno == EAGAIN) {
+      return;
+    } else if (errno != EINTR) {
+      // Nobody reads. A reader that comes later begins within a line at most, and drops that one.
+      ++dropped_;
+      pending_ = "\n";
+      if (errno == EPIPE) return;
+      pending_.clear();
+      return;
+    }
+  }
+}
+
+}  // namespace marbledyke::events
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -27,10 +27,6 @@
 // What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice.
 constexpr int kOwnDescriptors = 8;
 
-Span unix_now() {
-  return std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 // The descriptors left for clients beside those that each listed server may need.
 std::size_t client_room(const config::Commission& commission) {
   const std::size_t listed = commission.known.is_object() && commission.known.contains("endpoints")
@@ -50,13 +46,14 @@
 
 }  // namespace
 
-Gatherer::Gatherer(config::Commission& commission)
+Gatherer::Gatherer(config::Commission& commission, net::Descriptor listening, const TimeSource& clock)
     : commission_(commission),
       discovery_(commission.discovery),
-      unix_start_((loop_.read_clock(), unix_now() - loop_.now())),
+      loop_(clock),
+      unix_start_((loop_.read_clock(), clock.wall() - loop_.now())),
       choice_(commission.terms, commission.seed),
       servers_(loop_, commission.carriage, commission.seed, [this] { return make_room(); }),
-      clients_(loop_, commission.carriage, commission.listen, client_room(commission)),
+      clients_(loop_, commission.carriage, commission.listen, client_room(commission), std::move(listening)),
       watch_(loop_, commission, unix_start_,
              {[this](list::News news) { news_.push_back(std::move(news)); }, [this] { ++refusals_; }}),
       hand_(static_cast<std::size_t>(commission.carriage.most_in_hand)) {
@@ -162,6 +159,7 @@
   waits(fresh.listen != commission_.listen, "listen");
   waits(fresh.sockets != commission_.sockets, "limits.sockets");
   const bool ask_anew = renew(fresh);
+  commission_.digest = fresh.digest;
   log::event(log::Level::info, "configuration.read_again", {{"discovery", fresh.discovery_host}});
   if (fresh.discovery != discovery_ || ask_anew) watch_.move(fresh.discovery, fresh.discovery_host);
   discovery_ = fresh.discovery;
@@ -253,6 +251,7 @@
   mg.over = true;
   --open_;
   done_.left += 1;
+  if (totals::Count* count = counted(mg)) count->left += 1;
   log::event(log::Level::debug, "multiget.ended",
              {{"multiget", mg.wire_id}, {"caller", caller}, {"how", "client_left"}});
   choice_.client_left(id);
@@ -305,6 +304,12 @@
   front::Ask& ask = asked.ask;
   if (held_ >= commission_.carriage.most_in_hand) {
     done_.no_room += 1;
+    if (record_) {
+      totals::Count& count =
+          record_->window.by_op_type[commission_.carriage.op_types[static_cast<std::size_t>(ask.op_type)].name];
+      count.taken += 1;
+      count.pushed_back += 1;
+    }
     return fronts_[from]->refuse(asked.caller, front::Refusal::no_room, {});
   }
   if (by_wire_id_.contains(ask.id)) {
@@ -322,6 +327,14 @@
   const config::OpName& op = commission_.carriage.op_types[static_cast<std::size_t>(ask.op_type)];
   mg.second_step = op.second_step;
   mg.once = op.once;
+  if (record_) {
+    mg.op_type = op.name;
+    mg.began = asked.sent_by;
+    mg.budget = op.budget;
+    totals::Count& count = record_->window.by_op_type[op.name];
+    count.taken += 1;
+    count.importance = op.importance;
+  }
   mg.text = ask.text;
   for (const front::Piece& piece : ask.pieces) {
     mg.pieces.push_back({piece.shard, piece.mass, piece.key, piece.hint, 0, false, 0, {}});
@@ -390,6 +403,10 @@
     if (!must_hold(mg != nullptr && !mg->over, "a send belongs to a multiget without its final answer"))
       continue;
     Piece& piece = mg->pieces[at];
+    if (totals::Count* count = counted(*mg)) {
+      count->sends += 1;
+      count->further += piece.sent > 0 ? 1 : 0;
+    }
     servers::Errand errand;
     errand.part = send->part;
     errand.send = piece.sent++;
@@ -452,6 +469,17 @@
   front::Front& its = *fronts_[mg.front];
   mg.over = true;
   --open_;
+  if (totals::Count* count = counted(mg)) {
+    const Span took = loop_.now() - mg.began;
+    if (verdict.ending == Ending::answer) {
+      count->answered += 1;
+      count->whole += verdict.whole ? 1 : 0;
+      count->in_budget += took <= mg.budget ? 1 : 0;
+      count->latency.add(took);
+    } else {
+      (verdict.ending == Ending::push_back ? count->pushed_back : count->failed) += 1;
+    }
+  }
   if (verdict.ending == Ending::answer) {
     std::vector<front::Value> values;
     for (std::size_t i = mg.first_of_step; i < mg.pieces.size(); ++i) {
@@ -501,6 +529,45 @@
   second_steps_.push_back(mg.id);
 }
 
+// ---- the record ----
+
+totals::Count* Gatherer::counted(const InHand& mg) {
+  if (!record_ || mg.op_type.empty()) return nullptr;
+  return &record_->window.by_op_type[mg.op_type];
+}
+
+void Gatherer::record(std::function<void(const std::string&)> told) {
+  record_.emplace();
+  record_->told = std::move(told);
+  const std::int64_t ms = loop_.clock().wall() / 1ms;
+  record_->window.start_ms = ms - ms % totals::kWindowMs;
+  loop_.at(loop_.now() + std::chrono::milliseconds(totals::kWindowMs - ms % totals::kWindowMs),
+           [this] { tell_window(); });
+}
+
+// A second that ended while the process stood still is told of late, under its own time; those in which it did
+// nothing at all are not told of.
+void Gatherer::tell_window() {
+  Record& record = *record_;
+  const std::int64_t ms = loop_.clock().wall() / 1ms;
+  record.window.in_hand = static_cast<std::uint64_t>(open_);
+  record.window.broken_invariants = broken_invariants();
+  record.window.not_connected = servers_.tally().dial_failed;
+  record.window.dropped = servers_.tally().dropped;
+  char digest[17];
+  std::snprintf(digest, sizeof digest, "%016llx", static_cast<unsigned long long>(commission_.digest));
+  record.told(nlohmann::json{{"event", "window"},
+                             {"number", ++record.number},
+                             {"configuration", digest},
+                             {"stopping", leave_by_.has_value()},
+                             {"window", totals::put(record.window)}}
+                  .dump());
+  record.window.by_op_type.clear();
+  record.window.start_ms = ms - ms % totals::kWindowMs;
+  loop_.at(loop_.now() + std::chrono::milliseconds(totals::kWindowMs - ms % totals::kWindowMs),
+           [this] { tell_window(); });
+}
+
 void Gatherer::report() {
   for (const auto& front : more_fronts_) front->report();
   for (const auto& one : carriers_) {
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,13 +20,16 @@
 #include "net/loop.h"
 #include "operator_file/terms.h"
 #include "servers/servers.h"
+#include "totals/totals.h"
 
 namespace marbledyke::gatherer {
 
 class Gatherer {
  public:
   // Outlived by the commission, whose settings change with reload().
-  explicit Gatherer(config::Commission& commission);
+  // A socket that listens already at the address for clients may be given, and another clock.
+  explicit Gatherer(config::Commission& commission, net::Descriptor listening = {},
+                    const TimeSource& clock = machine_clock());
 
   // A further front beside the platform's; before the first turn.
   void add(std::unique_ptr<front::Front> front);
@@ -45,6 +49,8 @@
   void operate(const operator_file::Terms& terms);
   net::Loop& loop() { return loop_; }
   void report();  // a log line of what has been done
+  // From now on each second of the wall clock is counted by op type and told, one line of JSON each, after it.
+  void record(std::function<void(const std::string& line)> told);
   const servers::Tally& tally() const { return servers_.tally(); }
   const servers::Servers& servers() const { return servers_; }
 
@@ -79,6 +85,16 @@
     std::vector<Piece> pieces;  // of both steps
     std::shared_ptr<const std::string> text;
     std::string from;  // the shards that the second step is from
+    // For the record only, empty without one.
+    std::string op_type;
+    Span began{}, budget{};
+  };
+
+  // What is counted while somebody is told.
+  struct Record {
+    std::function<void(const std::string&)> told;
+    totals::Window window;
+    std::uint64_t number = 0;
   };
 
   struct Taken {
@@ -104,6 +120,9 @@
   carrier::Carrier* carrier_of(std::string_view server);
 
   bool renew(const config::Commission& fresh);
+  void tell_window();
+  // Where a multiget is counted; none: nobody is told.
+  totals::Count* counted(const InHand& mg);
 
   config::Commission& commission_;
   net::Address discovery_;  // the one of the newest configuration
@@ -130,6 +149,7 @@
   std::optional<Span> leave_by_;  // in a planned stop: when all must be over
   bool accepting_ = true, parting_ = false;
   Taken done_;
+  std::optional<Record> record_;
 };
 
 }  // namespace marbledyke::gatherer
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -26,6 +26,7 @@
   spdlog::logger logger;
   Form form = Form::plain;
   std::string name = "marbledyke";
+  std::function<void(const std::string&)> tap;
 };
 
 State& state() {
@@ -95,14 +96,14 @@
   }
 }
 
-void put(Level level, std::string_view name, Fields fields, std::uint64_t left_out) {
+std::string line_of(Form form, Level level, std::string_view name, Fields fields, std::uint64_t left_out) {
   State& to = state();
   const auto since = std::chrono::system_clock::now().time_since_epoch();
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
   const char* const word = kLevels[static_cast<std::size_t>(level)];
   std::string line;
   line.reserve(160);
-  if (to.form == Form::json) {
+  if (form == Form::json) {
     line = fmt::format(R"({{"time":{}.{:03},"level":"{}","gatherer":)", ms / 1000, ms % 1000, word);
     put_quoted(line, to.name);
     line += ",\"event\":";
@@ -125,7 +126,16 @@
     }
     if (left_out > 0) line += fmt::format(" left_out={}", left_out);
   }
-  to.logger.log(kTheirs[static_cast<std::size_t>(level)], line);
+  return line;
+}
+
+bool tapped(Level level) { return level >= Level::info && state().tap != nullptr; }
+
+void put(Level level, std::string_view name, Fields fields, std::uint64_t left_out) {
+  State& to = state();
+  if (tapped(level)) to.tap(line_of(Form::json, level, name, fields, left_out));
+  if (!keeps(level)) return;
+  to.logger.log(kTheirs[static_cast<std::size_t>(level)], line_of(to.form, level, name, fields, left_out));
 }
 
 }  // namespace
@@ -139,11 +149,13 @@
 bool keeps(Level level) { return state().logger.should_log(kTheirs[static_cast<std::size_t>(level)]); }
 
 void event(Level level, std::string_view name, Fields fields) {
-  if (keeps(level)) put(level, name, fields, 0);
+  if (keeps(level) || tapped(level)) put(level, name, fields, 0);
 }
 
+void tap(std::function<void(const std::string&)> told) { state().tap = std::move(told); }
+
 void Throttled::event(Fields fields) {
-  if (!keeps(level_)) return;
+  if (!keeps(level_) && !tapped(level_)) return;
   using std::chrono::steady_clock;
   const std::int64_t second =
       std::chrono::duration_cast<std::chrono::seconds>(steady_clock::now().time_since_epoch()).count();
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
+#include <string>
 #include <string_view>
 #include <type_traits>
 #include <variant>
@@ -40,6 +42,10 @@
 bool keeps(Level level);
 void event(Level level, std::string_view name, Fields fields = {});
 
+// Whoever is given here is told of each event of level info and above as one line of JSON, whatever the level
+// and the form of what is written. None by default.
+void tap(std::function<void(const std::string& line)> told);
+
 // For what peers can cause as often as they like: one event a second at most, the next one says under
 // `left_out` how many were not written.
 class Throttled {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -9,13 +9,12 @@
 
 namespace marbledyke::net {
 
-Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), start_(std::chrono::steady_clock::now()) {
+Loop::Loop(const TimeSource& clock)
+    : clock_(clock), epoll_(epoll_create1(EPOLL_CLOEXEC)), start_(clock.steady()) {
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
-void Loop::read_clock() {
-  now_ = std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - start_);
-}
+void Loop::read_clock() { now_ = clock_.steady() - start_; }
 
 std::uint32_t Loop::watch(int fd, Watcher& watcher) {
   std::uint32_t place = static_cast<std::uint32_t>(places_.size());
@@ -53,7 +52,7 @@
   int patience = -1;
   read_clock();
   if (!timers_.empty()) {
-    const Span left = std::max(timers_.begin()->first.first - now_, Span::zero());
+    const Span left = clock_.machine_time(std::max(timers_.begin()->first.first - now_, Span::zero()));
     patience = static_cast<int>(std::min<std::int64_t>((left.count() + 999) / 1000, 60'000));
   }
   std::array<epoll_event, 256> events;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "model/clock.h"
 #include "model/plain.h"
 #include "net/descriptor.h"
 
@@ -23,7 +24,9 @@
  public:
   using Timer = std::pair<Span, std::uint64_t>;
 
-  Loop();
+  explicit Loop(const TimeSource& clock = machine_clock());
+
+  const TimeSource& clock() const { return clock_; }
 
   // The clock of the present turn, read once in each; since the loop was made.
   Span now() const { return now_; }
@@ -45,8 +48,9 @@
     std::uint32_t generation = 0;
   };
 
+  const TimeSource& clock_;
   Descriptor epoll_;
-  std::chrono::steady_clock::time_point start_;
+  Span start_;
   Span now_{};
   std::vector<Place> places_;
   std::vector<std::uint32_t> free_;
