A keeper for each gatherer: versions, swaps on order, restarts, adoption after its own end

Need: operators start and change gatherers by hand, and nothing owns one.

Change: marbledyke-keeper. src/keeper/minder decides without I/O, by three tables of state and event (a process's life, a swap, the will that something runs); orders carry epoch and number; what must survive is written, synced and renamed before anything is done. The keeper holds the socket that clients connect to, so they wait in its queue while one gatherer follows another. A lock that the gatherer itself holds tells a keeper that is started anew whether one still runs, whatever pid is written.

--- /dev/null
+++ b/src/keeper/control.cpp
@@ -0,0 +1,138 @@
+#include "keeper/control.h"
+
+#include <arpa/inet.h>
+#include <unistd.h>
+
+#include <cstring>
+
+namespace marbledyke::keeper {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Span kWhole = 2s;   // a request is here within this from its first byte
+constexpr Span kIdle = 30s;   // a connection without one
+constexpr Span kWrite = 10s;  // an answer is taken within this
+constexpr std::size_t kMostAnswer = 16 * 1024 * 1024;
+
+}  // namespace
+
+std::string not_private(const net::Address& address) {
+  sockaddr_storage storage{};
+  address.put(storage);
+  if (address.family() == net::Family::local) return {};
+  if (address.family() == net::Family::ip4) {
+    const auto* in = reinterpret_cast<const sockaddr_in*>(&storage);
+    const std::uint32_t ip = ntohl(in->sin_addr.s_addr);
+    if (ip == 0) return "a wildcard address";
+    const bool fine = ip >> 24 == 127 || ip >> 24 == 10 || ip >> 20 == (172U << 4 | 1) ||
+                      ip >> 16 == (192U << 8 | 168) || ip >> 16 == (169U << 8 | 254);
+    return fine ? "" : "a public address";
+  }
+  const auto* in = reinterpret_cast<const sockaddr_in6*>(&storage);
+  const unsigned char* b = in->sin6_addr.s6_addr;
+  if (IN6_IS_ADDR_UNSPECIFIED(&in->sin6_addr)) return "a wildcard address";
+  const bool fine = IN6_IS_ADDR_LOOPBACK(&in->sin6_addr) || (b[0] & 0xfe) == 0xfc ||
+                    (b[0] == 0xfe && (b[1] & 0xc0) == 0x80);
+  return fine ? "" : "a public address";
+}
+
+struct Control::Caller {
+  std::uint64_t number = 0;
+  std::unique_ptr<net::Stream> stream;
+  net::HttpReader reader{net::HttpReader::Kind::request, kMostBody};
+  Span since{};  // its first byte; or the end of the last request
+  bool answering = false, closes = false;
+};
+
+Control::Control(net::Loop& loop, const net::Address& address, Asked asked)
+    : loop_(loop), asked_(std::move(asked)) {
+  const std::string text = address.text();
+  if (address.family() == net::Family::local && text.starts_with("unix:/")) {
+    path_ = text.substr(5);
+    unlink(path_.c_str());
+  }
+  listener_ = std::make_unique<net::Listener>(
+      loop, address,
+      net::Listener::Told{[this] { return callers_.size() < kMostCallers; }, [] { return false; },
+                          [this](net::Descriptor fd) { came(std::move(fd)); }});
+  sweep();
+}
+
+Control::~Control() {
+  loop_.cancel(sweep_);
+  listener_.reset();
+  if (!path_.empty()) unlink(path_.c_str());
+}
+
+void Control::came(net::Descriptor fd) {
+  auto made = std::make_unique<Caller>();
+  Caller* const caller = made.get();
+  caller->number = next_++;
+  caller->since = loop_.now();
+  callers_.emplace(caller->number, std::move(made));
+  caller->stream = std::make_unique<net::Stream>(
+      loop_, std::move(fd), true, kMostBody, kMostAnswer,
+      net::Stream::Told{nullptr, [this, caller] { arrived(*caller); },
+                        [this, caller] {
+                          if (!caller->answering) return;
+                          caller->answering = false;
+                          caller->since = loop_.now();
+                          if (caller->closes) return drop(*caller);
+                          arrived(*caller);
+                        },
+                        [this, caller](bool) { drop(*caller); }});
+}
+
+void Control::drop(Caller& caller) {
+  caller.stream->close();
+  const auto at = callers_.find(caller.number);
+  if (at == callers_.end()) return;
+  graves_.push_back(std::move(at->second));
+  callers_.erase(at);
+  if (graves_.size() == 1) loop_.at(loop_.now(), [this] { graves_.clear(); });
+  listener_->again();
+}
+
+void Control::arrived(Caller& caller) {
+  net::Ring& in = caller.stream->in();
+  if (caller.closes) return in.clear();
+  while (!in.empty() && !caller.answering && !caller.stream->closed()) {
+    if (!caller.reader.begun()) caller.since = loop_.now();
+    in.drop(caller.reader.take(in.front()));
+    if (caller.reader.state() == net::HttpReader::State::reading) continue;
+    if (caller.reader.state() == net::HttpReader::State::bad)
+      return answer(caller, {caller.reader.complaint(), R"({"error":"the request cannot be read"})"}, false);
+    const net::HttpMessage message = std::move(caller.reader.message());
+    caller.reader.restart();
+    answer(caller, asked_(message.first, message.second, message.body), message.stays());
+  }
+  if (!caller.stream->closed()) caller.stream->read_on();
+}
+
+void Control::answer(Caller& caller, const Reply& reply, bool stays) {
+  caller.answering = true;
+  caller.closes = !stays;
+  caller.since = loop_.now();
+  if (!caller.stream->out().put(
+          net::answer_text(reply.status, "application/json", reply.body + "\n", stays, Span{})))
+    return drop(caller);
+  caller.stream->flush();
+}
+
+void Control::sweep() {
+  for (auto at = callers_.begin(); at != callers_.end();) {
+    Caller& caller = *(at++)->second;
+    const Span waited = loop_.now() - caller.since;
+    if (caller.answering) {
+      if (waited > kWrite) drop(caller);
+    } else if (caller.reader.begun()) {
+      if (waited > kWhole) answer(caller, {408, R"({"error":"the request did not end in time"})"}, false);
+    } else if (waited > kIdle) {
+      drop(caller);
+    }
+  }
+  sweep_ = loop_.at(loop_.now() + 200ms, [this] { sweep(); });
+}
+
+}  // namespace marbledyke::keeper
--- /dev/null
+++ b/src/keeper/keeper.h
@@ -0,0 +1,86 @@
+// The keeper of one machine's gatherer: carries out what keeper::Minder decides, over processes, files and the
+// control address, and tells it what happens. Decides nothing itself.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "disk/disk.h"
+#include "keeper/child.h"
+#include "keeper/control.h"
+#include "keeper/minder.h"
+#include "keeper/versions.h"
+#include "net/loop.h"
+#include "totals/totals.h"
+
+namespace marbledyke::keeper {
+
+struct Options {
+  std::string name;
+  std::string folder;
+  net::Address control;
+  Policy policy;
+};
+
+class Keeper {
+ public:
+  // Throws std::system_error, disk::DiskError or config::BadInput; among others where another keeper has the
+  // folder.
+  Keeper(net::Loop& loop, disk::Disk& disk, const Options& options);
+  ~Keeper();
+  Keeper(const Keeper&) = delete;
+  Keeper& operator=(const Keeper&) = delete;
+
+  void leave();  // in order, with its gatherer
+  bool running() const { return !left_; }
+
+  Reply asked(const std::string& method, const std::string& target, const std::string& body);
+
+ private:
+  struct Slot {
+    std::unique_ptr<Child> child;
+    totals::Series series;
+    std::int64_t began_ms = 0;
+    bool stopping = false;
+    std::uint64_t unreadable = 0, windows = 0, missed = 0, number = 0;
+    std::uint64_t events = 0;
+    std::string waits;  // settings that wait for a start, since the last SIGHUP
+  };
+
+  void carry_out();
+  bool write(const Kept& kept);
+  void begin(int slot, const std::string& version);
+  int listener_for(const std::string& version);
+  std::string listen_of(const std::string& version) const;
+  void line(int slot, const std::string& text);
+  void ask_health();
+  void beat();
+  void take_some();
+  Reply order(const std::string& body);
+  std::string status() const;
+  std::string windows(std::int64_t from_ms) const;
+
+  net::Loop& loop_;
+  disk::Disk& disk_;
+  Options options_;
+  net::Descriptor lock_;
+  Versions versions_;
+  std::unique_ptr<Minder> minder_;
+  Slot slots_[kSlots];
+  std::string listening_;  // the address of the socket that clients connect to, and the socket
+  net::Descriptor listener_;
+  std::unique_ptr<Control> control_;
+  std::unique_ptr<Versions::Taking> taking_;
+  std::unique_ptr<net::Stream> health_;
+  std::vector<std::unique_ptr<net::Stream>> graves_;
+  bool health_said_ = false;
+  Span health_next_{};
+  std::int64_t since_ms_ = 0;
+  std::string state_wrong_, write_wrong_;  // why the kept state could not be read, or written
+  std::optional<net::Loop::Timer> beat_;
+  bool carrying_ = false, left_ = false;
+};
+
+}  // namespace marbledyke::keeper
--- /dev/null
+++ b/src/points/points.cpp
@@ -0,0 +1,7 @@
+#include "points/points.h"
+
+namespace marbledyke::points {
+
+void reach(const char*) {}
+
+}  // namespace marbledyke::points
--- /dev/null
+++ b/src/points/points.h
@@ -0,0 +1,9 @@
+// Named points of the code at which the lab can end or stop a process. In what is shipped, reach() does nothing:
+// the lab's programs are the same libraries linked with another version of it.
+#pragma once
+
+namespace marbledyke::points {
+
+void reach(const char* name);
+
+}  // namespace marbledyke::points
