--- a/src/keeper/control.cpp
+++ b/src/keeper/control.cpp
@@ -12,6 +12,7 @@
 
 constexpr Span kWhole = 2s;   // a request is here within this from its first byte
 constexpr Span kIdle = 30s;   // a connection without one
+constexpr Span kParting = 1s;  // after its last answer, for who does not close
 constexpr Span kWrite = 10s;  // an answer is taken within this
 constexpr std::size_t kMostAnswer = 16 * 1024 * 1024;
 
@@ -42,7 +43,8 @@
   std::unique_ptr<net::Stream> stream;
   net::HttpReader reader{net::HttpReader::Kind::request, kMostBody};
   Span since{};  // its first byte; or the end of the last request
-  bool answering = false, closes = false;
+  enum class At { reading, answering, parting } at = At::reading;  // parting: what still comes is dropped
+  bool stays = true;
 };
 
 Control::Control(net::Loop& loop, const net::Address& address, Asked asked)
@@ -75,10 +77,11 @@
       loop_, std::move(fd), true, kMostBody, kMostAnswer,
       net::Stream::Told{nullptr, [this, caller] { arrived(*caller); },
                         [this, caller] {
-                          if (!caller->answering) return;
-                          caller->answering = false;
+                          if (caller->at != Caller::At::answering) return;
                           caller->since = loop_.now();
-                          if (caller->closes) return drop(*caller);
+                          caller->at = caller->stays ? Caller::At::reading : Caller::At::parting;
+                          // A close over bytes that were not read is a reset, which can overtake the answer.
+                          if (!caller->stays) return caller->stream->finish();
                           arrived(*caller);
                         },
                         [this, caller](bool) { drop(*caller); }});
@@ -96,8 +99,11 @@
 
 void Control::arrived(Caller& caller) {
   net::Ring& in = caller.stream->in();
-  if (caller.closes) return in.clear();
-  while (!in.empty() && !caller.answering && !caller.stream->closed()) {
+  if (caller.at == Caller::At::parting || (caller.at == Caller::At::answering && !caller.stays)) {
+    in.clear();
+    return caller.stream->read_on();
+  }
+  while (!in.empty() && caller.at == Caller::At::reading && !caller.stream->closed()) {
     if (!caller.reader.begun()) caller.since = loop_.now();
     in.drop(caller.reader.take(in.front()));
     if (caller.reader.state() == net::HttpReader::State::reading) continue;
@@ -111,8 +117,8 @@
 }
 
 void Control::answer(Caller& caller, const Reply& reply, bool stays) {
-  caller.answering = true;
-  caller.closes = !stays;
+  caller.at = Caller::At::answering;
+  caller.stays = stays;
   caller.since = loop_.now();
   if (!caller.stream->out().put(
           net::answer_text(reply.status, "application/json", reply.body + "\n", stays, Span{})))
@@ -124,7 +130,9 @@
   for (auto at = callers_.begin(); at != callers_.end();) {
     Caller& caller = *(at++)->second;
     const Span waited = loop_.now() - caller.since;
-    if (caller.answering) {
+    if (caller.at == Caller::At::parting) {
+      if (waited > kParting) drop(caller);
+    } else if (caller.at == Caller::At::answering) {
       if (waited > kWrite) drop(caller);
     } else if (caller.reader.begun()) {
       if (waited > kWhole) answer(caller, {408, R"({"error":"the request did not end in time"})"}, false);
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -67,11 +67,15 @@
   since_ms_ = loop_.clock().wall() / 1ms;
 
   Kept kept;
+  bool known = false;
   const std::string state = options_.folder + "/state";
   try {
-    if (const auto text = disk_.read(state, kMostState)) kept = read_kept(*text);
+    const auto text = disk_.read(state, kMostState);
+    known = text.has_value();
+    if (text) kept = read_kept(*text);
   } catch (const std::exception& wrong) {
     // Set aside, not overwritten; what is linked counts as in force.
+    known = false;
     state_wrong_ = wrong.what();
     log::event(log::Level::error, "keeper.state_not_usable", {{"why", state_wrong_}});
     disk_.rename(state, state + ".damaged");
@@ -97,7 +101,7 @@
                     [this, i](const std::string& text) { line(i, text); }});
     found[i] = slots_[i].child->adopt();
     // State that was lost says nothing about what is wanted; that one runs does.
-    if (found[i] && !state_wrong_.empty()) kept.wanted = true;
+    if (found[i] && !known) kept.wanted = true;
   }
   minder_ = std::make_unique<Minder>(options_.policy, kept, loop_.now(), loop_.clock().wall(),
                                      jitter_of(options_.name));
@@ -112,7 +116,8 @@
     listener_ = slots_[i].child->listener_of(listening_);
     if (!listener_) log::event(log::Level::warning, "keeper.listener_not_regained", {{"address", listening_}});
   }
-  minder_->resume(versions_.facts(kept.in_force), versions_.facts(kept.former));
+  minder_->resume(versions_.facts(kept.in_force), versions_.facts(kept.former),
+                  kept.order && versions_.has(kept.order->version));
   control_ = std::make_unique<Control>(
       loop_, options_.control,
       [this](const std::string& method, const std::string& target, const std::string& body) {
@@ -160,6 +165,7 @@
       case Act::What::link:
         try {
           versions_.link(act->version);
+          minder_->linked();
         } catch (const disk::DiskError& wrong) {
           log::event(log::Level::error, "keeper.not_linked", {{"version", act->version}, {"why", wrong.what()}});
           minder_->not_linked(wrong.what());
@@ -349,8 +355,7 @@
   }
   minder_->tick(loop_.now(), loop_.clock().wall());
   const Kept& present = minder_->kept();
-  Verdict verdict = judge(order, present, loop_.clock().wall(), versions_.has(order.version));
-  if (minder_->will() == Will::leaving && verdict == Verdict::taken) verdict = Verdict::busy;
+  Verdict verdict = minder_->considers(order, versions_.has(order.version));
   if (verdict == Verdict::taken) {
     Kept kept = Minder::with(present, order, loop_.clock().wall());
     // Written down before anything is done: a keeper that ends now goes on with it.
--- a/src/keeper/minder.cpp
+++ b/src/keeper/minder.cpp
@@ -196,7 +196,7 @@
 }
 
 // Whatever was under way is done once more from its beginning: each step does no harm when it is repeated.
-void Minder::resume(const VersionFacts& in_force, const VersionFacts& former) {
+void Minder::resume(const VersionFacts& in_force, const VersionFacts& former, bool has_ordered) {
   target_ = in_force;
   former_ = former;
   const bool first = at(0).life != Life::none, second = at(1).life != Life::none;
@@ -208,6 +208,12 @@
   if (!kept_.in_force.empty()) act(Act::What::link, 0, kept_.in_force);
   const bool swapping = kept_.order && kept_.order->kind == Kind::use;
   kept_.gave_up = false;  // a keeper that was started anew tries once more
+  // Taking and dropping a version are not gone on with, but they may be done.
+  const bool open = kept_.outcome == Outcome::under_way && kept_.order;
+  if (open && (kept_.order->kind == Kind::take || kept_.order->kind == Kind::drop)) {
+    const bool done = has_ordered == (kept_.order->kind == Kind::take);
+    finish(done ? Outcome::done : Outcome::refused, done ? "" : "the keeper ended before it was done");
+  }
   if (!kept_.wanted) {
     if (will_ == Will::running) on(WillEvent::unwanted);
     if (kept_.outcome == Outcome::under_way && !first && !second) finish(Outcome::done, "");
@@ -226,9 +232,8 @@
     trial_until_ = now_ + kept_.order->trial - ran;
     swap_ = Swap::trial;
     swap_since_ = now_;
-  } else if (kept_.outcome == Outcome::under_way && kept_.order &&
-             (kept_.order->kind == Kind::take || kept_.order->kind == Kind::drop)) {
-    finish(Outcome::refused, "the keeper ended before it was done");
+  } else if (kept_.outcome == Outcome::under_way && kept_.order && kept_.order->kind == Kind::confirm) {
+    finish(Outcome::done, "");
   }
   if (will_ != Will::running) return on(WillEvent::wanted);
   if (swap_ != Swap::none || at(lead_).version == kept_.in_force) return;
@@ -238,6 +243,14 @@
 
 // ---- orders ----
 
+Verdict Minder::considers(const Order& order, bool has_version) const {
+  const Verdict verdict = judge(order, kept_, wall_, has_version);
+  if (verdict != Verdict::taken) return verdict;
+  const bool swapping = swap_ != Swap::none && swap_ != Swap::trial;
+  if (will_ == Will::leaving || (swapping && order.kind != Kind::stop)) return Verdict::busy;
+  return verdict;
+}
+
 Kept Minder::with(const Kept& kept, const Order& order, Span wall) {
   Kept out = kept;
   if (order.kind == Kind::use) {
@@ -317,6 +330,7 @@
 
 // The version could not be brought in force, so nothing is read or begun on the strength of it.
 void Minder::not_linked(const std::string& why) {
+  unlinked_ = true;
   std::erase_if(acts_, [](const Act& one) { return one.what == Act::What::hup || one.what == Act::What::begin; });
   waits_to_begin_.reset();
   swap_why_ = "not linked: " + why;
@@ -325,7 +339,9 @@
     case Swap::proving:
     case Swap::trial:
     case Swap::back_proving:
-      return act(Act::What::note, lead_, kept_.in_force, swap_why_);
+      act(Act::What::note, lead_, kept_.in_force, swap_why_);
+      if (at(lead_).life == Life::none && will_ == Will::running) fell(lead_, swap_why_);
+      return;
     case Swap::reading:
       return on(SwapEvent::not_taken, swap_why_);
     case Swap::beside:
@@ -333,7 +349,9 @@
     case Swap::back_reading:
     case Swap::back_beside:
       swap_ = Swap::none;
-      return finish(Outcome::held, swap_why_);
+      finish(Outcome::held, swap_why_);
+      if (at(lead_).life == Life::none && will_ == Will::running) fell(lead_, swap_why_);
+      return;
   }
 }
 
@@ -353,7 +371,7 @@
     one.asked = now_;
   }
   if (window.ended > 0 || window.in_hand == 0) one.ended = now_;
-  on(slot, one.life == Life::starting ? LifeEvent::serves : LifeEvent::speaks);
+  if (one.life == Life::starting) on(slot, LifeEvent::serves);
 }
 
 // The health call goes to whoever accepts first where two serve, so it says something of the lead alone only.
@@ -415,9 +433,14 @@
   }
   if (will_ == Will::resting && now_ >= rest_until_) on(WillEvent::rested);
   const One& lead = at(lead_);
+  if (kept_.outcome == Outcome::under_way && kept_.order && kept_.order->kind == Kind::run &&
+      lead.life == Life::serving)
+    finish(Outcome::done, "");
   if (swap_ == Swap::proving || swap_ == Swap::back_proving) {
     const std::string& wants = swap_ == Swap::proving ? target_.configuration : former_.configuration;
-    const bool is = lead.life == Life::serving && sound(lead) && lead.configuration == wants;
+    // One that was asked has to have ended something, too.
+    const bool answers = lead.asked == Span{} || lead.ended >= lead.asked;
+    const bool is = lead.life == Life::serving && sound(lead) && answers && lead.configuration == wants;
     if (is && !sound_now_) sound_since_ = now_;
     sound_now_ = is;
     if (sound_now_ && now_ - sound_since_ >= policy_.prove) {
@@ -435,6 +458,7 @@
     on(SwapEvent::limit);
   }
   if (unsaved_) act(Act::What::keep);
+  if (unlinked_) act(Act::What::link, 0, kept_.in_force);
 }
 
 void Minder::kept_written(bool written) { unsaved_ = !written; }
@@ -483,10 +507,10 @@
       return;
     case LifeDo::impossible:
       impossible_ += 1;
+      act(Act::What::note, slot, one.version,
+          std::string("IMPOSSIBLE: event ") + std::to_string(place(event)) + " of a process in state " + name_of(one.life));
       return;
     case LifeDo::announce:
-      if (slot == lead_ && kept_.outcome == Outcome::under_way && kept_.order && kept_.order->kind == Kind::run)
-        finish(Outcome::done, "");
       return on(SwapEvent::serves);
     case LifeDo::say_hung:
       act(Act::What::note, slot, one.version, "hangs: it says or answers nothing, or ends no multiget");
@@ -521,17 +545,13 @@
   kept_.ends += 1;
   act(Act::What::note, slot, at(slot).version, "ended by itself: " + how);
   const bool beside = swap_ == Swap::beside || swap_ == Swap::back_beside;
-  if (beside && slot != lead_) {
-    swap_why_ = "it did not come up: " + how;
-    return on(SwapEvent::not_started);
-  }
-  if (slot != lead_) return;
   if (beside) {
-    // The one beside it is coming; where that was begun in its very place, it has failed.
-    if (at(1 - lead_).life != Life::none || waits_to_begin_) return;
+    // Where the one that is to be followed ends, the other is coming all the same.
+    if (waits_to_begin_ || slot != rising_) return;
     swap_why_ = "it did not come up: " + how;
     return on(SwapEvent::not_started);
   }
+  if (slot != lead_) return;
   if (swap_ == Swap::reading || swap_ == Swap::back_reading) return on(SwapEvent::not_started);
   if (swap_ != Swap::none) {
     swap_why_ = "it ended: " + how;
@@ -586,6 +606,8 @@
   waits_to_begin_.reset();
   rising_ = slot;
   at(slot).version = kept_.in_force;
+  // What it reads at its start goes by the link; where that cannot be set, nothing is begun.
+  act(Act::What::link, 0, kept_.in_force);
   act(Act::What::begin, slot, kept_.in_force);
 }
 
@@ -628,6 +650,8 @@
       return;
     case SwapDo::impossible:
       impossible_ += 1;
+      act(Act::What::note, lead_, kept_.in_force,
+          std::string("IMPOSSIBLE: event ") + std::to_string(place(event)) + " of a swap in state " + name_of(swap_));
       return;
     case SwapDo::go: {
       const bool reads = settings_suffice(target_);
@@ -643,6 +667,7 @@
       return begin_when_free();
     case SwapDo::prove:
       at(lead_).version = kept_.in_force;
+      at(lead_).asked = at(lead_).ended = Span{};
       act(Act::What::label, lead_, kept_.in_force);
       swap_ = cell.begins;
       swap_since_ = now_;
--- a/src/keeper/minder.h
+++ b/src/keeper/minder.h
@@ -102,9 +102,12 @@
   // What it finds at its own start: a gatherer that still runs, of that version.
   void adopted(int slot, const std::string& version, const VersionFacts& facts);
   // After that, once: goes on with what was under way.
-  void resume(const VersionFacts& in_force, const VersionFacts& former);
+  // `has_ordered`: the version that the last order names is there, whole.
+  void resume(const VersionFacts& in_force, const VersionFacts& former, bool has_ordered);
 
-  // An order that judge() took and that has been written down.
+  // judge(), and what only this knows: the keeper goes down, or what runs is being brought in line still.
+  Verdict considers(const Order& order, bool has_version) const;
+  // An order that considers() took and that has been written down.
   static Kept with(const Kept& kept, const Order& order, Span wall);
   void take(const Order& order, Kept kept, const VersionFacts& target, const VersionFacts& former);
   // Copying or removing a version has ended.
@@ -114,6 +117,7 @@
   void began(int slot, const VersionFacts& facts);
   void ended(int slot, const std::string& how);
   void not_begun(int slot, const std::string& why);
+  void linked() { unlinked_ = false; }
   void not_linked(const std::string& why);
   void serves(int slot);
   void heard(int slot, const Heard& window);
@@ -187,7 +191,7 @@
   VersionFacts target_, former_;
   std::string swap_why_;
   std::optional<int> waits_to_begin_;  // the slot in which a start waits for the leaving process's end
-  bool unsaved_ = false;
+  bool unsaved_ = false, unlinked_ = false;
   std::uint64_t impossible_ = 0;
   std::deque<Act> acts_;
 };
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -14,16 +14,17 @@
 #include <system_error>
 #include <vector>
 
-#include "lab/catalogue.h"
-#include "lab/discovery.h"
-#include "lab/leaf.h"
-#include "lab/load.h"
-#include "lab/process.h"
+#include "standins/catalogue.h"
+#include "standins/discovery.h"
+#include "standins/leaf.h"
+#include "standins/load.h"
+#include "standins/process.h"
 
 namespace marbledyke::lab {
 namespace {
 
 using namespace std::chrono_literals;
+using namespace standins;
 using nlohmann::json;
 
 constexpr int kShards = 8;
@@ -84,7 +85,7 @@
       discovery_.set(listed);
     }
     const std::string file = child_.put("operator.xml", search_file(sru_at_.text(), z3950_at_.text()));
-    child_.start(configuration("lab", gatherer_at_, discovery_at_, discovery_.body(-1), settings()),
+    child_.start(configuration("lab", gatherer_at_, discovery_at_, discovery_.body(-1), plain_settings(kShards)),
                  {"--operator", file}, "marbledyke-search");
   }
 
@@ -136,53 +137,6 @@
   std::size_t servers() const { return leaves_.size(); }
 
  private:
-  json settings() const {
-    json type = {{"name", "look"},         {"objective", 1000000}, {"deadline", 2000000},
-                 {"effect", "repeatable"}, {"worth", 1.0},         {"late-share", 0.0}};
-    json once = type;
-    once["name"] = "issue";
-    once["effect"] = "once";
-    return {{"categories", {type, once}},
-            {"contract",
-             {{"ask-every", 10000000},
-              {"cold", 5000000},
-              {"cold-from", 0.2},
-              {"drain-grace", 500000},
-              {"fall-multiple", 2.0},
-              {"overload-for", 1000000},
-              {"resend-span", 10000000},
-              {"extra-floor", 20},
-              {"extra-per-request", 0.2}}},
-            {"limits",
-             {{"attempts-cap", 3},
-              {"cancel", true},
-              {"conn-idle", 15000000},
-              {"connect-timeout", 250000},
-              {"max-open", 4000},
-              {"max-retry-after", 1000000},
-              {"probing", true},
-              {"retry-after", true},
-              {"second-copies", true},
-              {"streams-per-conn", 100}}},
-            {"prices", {{"cross-zone", 0.0}, {"handshake", 0.02}, {"probe", 0.02}, {"waste", 0.15}}},
-            {"registry-mode", "ask"},
-            {"replicas-of-me", 1},
-            {"specifics",
-             {{"bundle-max", 16},
-              {"class-floor", {1.0, 1.0}},
-              {"complete-from", {1.0, 1.0}},
-              {"overhead", 500},
-              {"second-step", {0, 0}},
-              {"sets", 1},
-              {"short-worth", {0.0, 0.0}},
-              {"slabs", kShards},
-              {"width", 1}}},
-            {"telemetry", {{"fields", {"active"}}, {"how", "on_probe"}}},
-            {"tick", 5000},
-            {"zone", 0},
-            {"zones", {"a"}}};
-  }
-
   void ask_health() {
     health_.reset();
     if (gatherer_ended() || loop_.now() > ready_by_) return told_(false);
--- a/src/lab/sockets.h
+++ b/src/lab/sockets.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "standins/load.h"
+
 namespace marbledyke::lab {
 
 struct UpOptions {
@@ -11,15 +13,7 @@
   int service_ms = 5;  // mean work of a part; exponential
 };
 
-struct LoadOptions {
-  std::string to;
-  double rate = 100, ramp_to = 0;  // multigets a second; 0: no ramp
-  int seconds = 10;
-  std::uint32_t seed = 1;
-  std::string op_type = "look";
-  int shards = 2;  // of which each multiget asks two, where there are two
-  int timeout_ms = 2000;
-};
+using standins::LoadOptions;
 
 // A database of that catalogue: what an operator's file says of it, with listeners at these addresses.
 std::string search_file(const std::string& sru, const std::string& z3950, const std::string& more = {});
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -13,9 +13,9 @@
 
 #include "checker/checker.h"
 #include "emulator/clients.h"
-#include "lab/discovery.h"
-#include "lab/machine.h"
-#include "lab/process.h"
+#include "standins/discovery.h"
+#include "standins/machine.h"
+#include "standins/process.h"
 #include "model/measure.h"
 #include "net/http.h"
 
@@ -23,6 +23,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using namespace standins;
 using checker::Event;
 using checker::What;
 using scenario::Effect;
--- a/src/lab/catalogue.cpp
+++ b/src/standins/catalogue.cpp
@@ -1,4 +1,4 @@
-#include "lab/catalogue.h"
+#include "standins/catalogue.h"
 
 #include <algorithm>
 #include <array>
@@ -7,7 +7,7 @@
 
 #include "cql/read.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 namespace {
 
 using search::Op;
@@ -211,4 +211,4 @@
   return out;
 }
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/catalogue.h
+++ b/src/standins/catalogue.h
@@ -8,7 +8,7 @@
 
 #include "search/part.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 class Catalogue {
  public:
@@ -36,4 +36,4 @@
   std::vector<Entry> entries_;  // the i-th is in shard i % shards
 };
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/discovery.cpp
+++ b/src/standins/discovery.cpp
@@ -1,4 +1,4 @@
-#include "lab/discovery.h"
+#include "standins/discovery.h"
 
 #include <cerrno>
 #include <charconv>
@@ -6,7 +6,7 @@
 #include <optional>
 #include <system_error>
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 using nlohmann::json;
 
@@ -143,4 +143,4 @@
   }
 }
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/discovery.h
+++ b/src/standins/discovery.h
@@ -12,7 +12,7 @@
 #include "net/loop.h"
 #include "net/socket.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 struct Listed {
   std::string name, address, zone = "a", status = "ready";
@@ -52,4 +52,4 @@
   std::uint64_t next_ = 1;
 };
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/histogram.h
+++ b/src/standins/histogram.h
@@ -8,7 +8,7 @@
 
 #include "model/plain.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 class Histogram {
  public:
@@ -53,4 +53,4 @@
   std::uint64_t count_ = 0, most_ = 0;
 };
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/leaf.cpp
+++ b/src/standins/leaf.cpp
@@ -1,4 +1,4 @@
-#include "lab/leaf.h"
+#include "standins/leaf.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -8,7 +8,7 @@
 #include <optional>
 #include <utility>
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 using namespace std::chrono_literals;
 
@@ -323,4 +323,4 @@
   }
 }
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/leaf.h
+++ b/src/standins/leaf.h
@@ -15,7 +15,7 @@
 #include "net/socket.h"
 #include "servers/frames.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 // What stands at one address. Whatever a door does, a part whose frame came in whole has run.
 enum class Door {
@@ -123,4 +123,4 @@
 // An address of that family on loopback that is free now; local ones have no file.
 net::Address free_address(net::Family family, std::uint32_t number);
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/load.cpp
+++ b/src/standins/load.cpp
@@ -1,10 +1,10 @@
-#include "lab/load.h"
+#include "standins/load.h"
 
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 using namespace std::chrono_literals;
 
@@ -199,4 +199,4 @@
   return out.dump();
 }
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/load.h
+++ b/src/standins/load.h
@@ -7,15 +7,25 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
-#include "lab/histogram.h"
-#include "lab/sockets.h"
+#include "standins/histogram.h"
 #include "net/http.h"
 #include "net/loop.h"
 #include "net/socket.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
+
+struct LoadOptions {
+  std::string to;
+  double rate = 100, ramp_to = 0;  // multigets a second; 0: no ramp
+  int seconds = 10;
+  std::uint32_t seed = 1;
+  std::string op_type = "look";
+  int shards = 2;  // of which each multiget asks two, where there are two
+  int timeout_ms = 2000;
+};
 
 class Load {
  public:
@@ -67,4 +77,4 @@
   Histogram latencies_;
 };
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/machine.cpp
+++ b/src/standins/machine.cpp
@@ -1,11 +1,11 @@
-#include "lab/machine.h"
+#include "standins/machine.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "model/measure.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 Machine::Machine(net::Loop& loop, const scenario::Fleet& fleet, std::uint32_t seed, Told told)
     : loop_(loop), fleet_(fleet), told_(std::move(told)), chance_(seed), leaf_(loop, LeafOptions{}, seed) {
@@ -126,4 +126,4 @@
   fill();
 }
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/machine.h
+++ b/src/standins/machine.h
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
-#include "lab/leaf.h"
+#include "standins/leaf.h"
 #include "scenario/scenario.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 class Machine {
  public:
@@ -71,4 +71,4 @@
   Leaf leaf_;
 };
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/process.cpp
+++ b/src/standins/process.cpp
@@ -1,4 +1,4 @@
-#include "lab/process.h"
+#include "standins/process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -17,7 +17,7 @@
 #include <sstream>
 #include <system_error>
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -34,6 +34,53 @@
           {"settings", std::move(settings)}};
 }
 
+json plain_settings(int shards) {
+  json type = {{"name", "look"},         {"objective", 1000000}, {"deadline", 2000000},
+               {"effect", "repeatable"}, {"worth", 1.0},         {"late-share", 0.0}};
+  json once = type;
+  once["name"] = "issue";
+  once["effect"] = "once";
+  return {{"categories", {type, once}},
+          {"contract",
+           {{"ask-every", 10000000},
+            {"cold", 5000000},
+            {"cold-from", 0.2},
+            {"drain-grace", 500000},
+            {"fall-multiple", 2.0},
+            {"overload-for", 1000000},
+            {"resend-span", 10000000},
+            {"extra-floor", 20},
+            {"extra-per-request", 0.2}}},
+          {"limits",
+           {{"attempts-cap", 3},
+            {"cancel", true},
+            {"conn-idle", 15000000},
+            {"connect-timeout", 250000},
+            {"max-open", 4000},
+            {"max-retry-after", 1000000},
+            {"probing", true},
+            {"retry-after", true},
+            {"second-copies", true},
+            {"streams-per-conn", 100}}},
+          {"prices", {{"cross-zone", 0.0}, {"handshake", 0.02}, {"probe", 0.02}, {"waste", 0.15}}},
+          {"registry-mode", "ask"},
+          {"replicas-of-me", 1},
+          {"specifics",
+           {{"bundle-max", 16},
+            {"class-floor", {1.0, 1.0}},
+            {"complete-from", {1.0, 1.0}},
+            {"overhead", 500},
+            {"second-step", {0, 0}},
+            {"sets", 1},
+            {"short-worth", {0.0, 0.0}},
+            {"slabs", shards},
+            {"width", 1}}},
+          {"telemetry", {{"fields", {"active"}}, {"how", "on_probe"}}},
+          {"tick", 5000},
+          {"zone", 0},
+          {"zones", {"a"}}};
+}
+
 json nested(const Terms& terms) {
   json out = json::object();
   for (const auto& [name, term] : terms) {
@@ -142,4 +189,4 @@
 
 double Gatherer::kernel() const { return times_of(pid_).second; }
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/process.h
+++ b/src/standins/process.h
@@ -10,12 +10,14 @@
 #include "model/plain.h"
 #include "net/address.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 // The configuration of one gatherer of the lab; `settings` are the operators' terms, nested.
 nlohmann::json configuration(const std::string& name, const net::Address& listen,
                              const net::Address& discovery, const std::string& known,
                              nlohmann::json settings);
+// Operators' terms for one op type that may be repeated, "look", and one that may not, "issue": one cell, one zone.
+nlohmann::json plain_settings(int shards);
 // Flat terms, with dots and list places as numbers, as the nested object that a configuration holds.
 nlohmann::json nested(const Terms& terms);
 
@@ -46,4 +48,4 @@
   std::string folder_;
 };
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/search_server.cpp
+++ b/src/standins/search_server.cpp
@@ -1,11 +1,11 @@
-#include "lab/search_server.h"
+#include "standins/search_server.h"
 
 #include <utility>
 
 #include "sru/front.h"
 #include "z3950/front.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 using namespace std::chrono_literals;
 
@@ -97,4 +97,4 @@
   listen();
 }
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/src/lab/search_server.h
+++ b/src/standins/search_server.h
@@ -8,11 +8,11 @@
 #include <string>
 
 #include "config/commission.h"
-#include "lab/catalogue.h"
+#include "standins/catalogue.h"
 #include "net/loop.h"
 #include "search/desk_front.h"
 
-namespace marbledyke::lab {
+namespace marbledyke::standins {
 
 enum class Manner {
   answers,
@@ -53,4 +53,4 @@
   std::uint64_t runs_ = 0;
 };
 
-}  // namespace marbledyke::lab
+}  // namespace marbledyke::standins
--- a/tests/address_rig.cpp
+++ b/tests/address_rig.cpp
@@ -10,15 +10,15 @@
 #include <random>
 #include <set>
 
-#include "lab/leaf.h"
+#include "standins/leaf.h"
 #include "log/log.h"
 #include "servers/servers.h"
 
 using namespace marbledyke;
 using namespace std::chrono_literals;
 using addresses::Book;
-using lab::Door;
-using lab::Leaf;
+using standins::Door;
+using standins::Leaf;
 using net::Family;
 using Clock = std::chrono::steady_clock;
 
@@ -48,7 +48,7 @@
 }
 
 struct Rig {
-  explicit Rig(const lab::LeafOptions& options = {}, std::uint32_t seed = 7)
+  explicit Rig(const standins::LeafOptions& options = {}, std::uint32_t seed = 7)
       : carriage_(carriage()),
         servers(loop, carriage_, seed, [] { return false; }),
         leaf(loop, options, seed) {
@@ -121,7 +121,7 @@
 std::vector<net::Address> three_doors(Rig& rig, std::uint32_t number = 1) {
   std::vector<net::Address> out;
   for (const Family family : {Family::local, Family::ip6, Family::ip4}) {
-    const net::Address address = lab::free_address(family, number);
+    const net::Address address = standins::free_address(family, number);
     if (rig.leaf.listen(address) < 0) std::printf("CANNOT LISTEN at %s\n", address.text().c_str());
     out.push_back(address);
   }
@@ -256,7 +256,7 @@
       rig.pass(700ms);
       const bool back = rig.servers.book().order("A").front() == doors[0];
       std::printf("%s, %s: first %s%s, next %s%s; ran %d and %d times; preferred again: %s\n",
-                  lab::name_of(how), both ? "two of three" : "one of three", name_of(ended.fate),
+                  standins::name_of(how), both ? "two of three" : "one of three", name_of(ended.fate),
                   ended.elapsed < 300ms ? " within 300 ms" : " LATE", name_of(then.fate),
                   took < 60ms ? " at once" : " LATE", rig.leaf.runs(id_of(first)),
                   rig.leaf.runs(id_of(second)), back ? "yes" : "NO");
@@ -278,7 +278,7 @@
 // Four servers of three addresses, doors that change at random, a list that drains, moves and takes away
 // addresses, parts that are sent on by the rule: again only where no earlier send can have run.
 Verdict schedule(std::uint32_t seed, long parts, Span between) {
-  lab::LeafOptions options;
+  standins::LeafOptions options;
   options.service = 2ms;
   options.spread = true;
   Rig rig(options, seed);
@@ -310,7 +310,7 @@
     names.push_back("S" + std::to_string(i));
     Listed& one = listed[names.back()];
     for (const Family family : {Family::local, Family::ip6, Family::ip4}) {
-      const net::Address address = lab::free_address(family, seed * 100 + static_cast<std::uint32_t>(i) + 10);
+      const net::Address address = standins::free_address(family, seed * 100 + static_cast<std::uint32_t>(i) + 10);
       if (leaves.back()->listen(address) < 0) std::printf("CANNOT LISTEN\n");
       one.addresses.push_back(address);
     }
@@ -385,7 +385,7 @@
     Listed& one = listed.at(name);
     if (what < 62) {
       const int door = static_cast<int>(draw(3));
-      const Door how = draw(3) == 0 ? static_cast<Door>(draw(lab::kDoors)) : Door::open;
+      const Door how = draw(3) == 0 ? static_cast<Door>(draw(standins::kDoors)) : Door::open;
       leaves[which]->set(door, how);
     } else if (what < 78) {
       leaves[which]->cut_all();
@@ -558,8 +558,8 @@
         rig.pass(2ms);
       }
     }
-    row((std::string(lab::name_of(how)) + ", first part").c_str(), first);
-    row((std::string(lab::name_of(how)) + ", next ones, each on a new connection").c_str(), next);
+    row((std::string(standins::name_of(how)) + ", first part").c_str(), first);
+    row((std::string(standins::name_of(how)) + ", next ones, each on a new connection").c_str(), next);
   }
   Verdict sum;
   const std::uint32_t seeds = 8;
--- a/tests/search_rig.cpp
+++ b/tests/search_rig.cpp
@@ -25,11 +25,11 @@
 
 #include "checker/checker.h"
 #include "emulator/world.h"
-#include "lab/catalogue.h"
-#include "lab/discovery.h"
-#include "lab/leaf.h"
-#include "lab/process.h"
-#include "lab/search_server.h"
+#include "standins/catalogue.h"
+#include "standins/discovery.h"
+#include "standins/leaf.h"
+#include "standins/process.h"
+#include "standins/search_server.h"
 #include "lab/sockets.h"
 #include "scenario/scenario.h"
 #include "sru/message.h"
@@ -40,7 +40,7 @@
 using namespace std::chrono_literals;
 using checker::Event;
 using checker::What;
-using lab::Manner;
+using standins::Manner;
 using Clock = std::chrono::steady_clock;
 
 namespace {
@@ -94,14 +94,14 @@
     loop_.read_clock();
     std::string servers;
     const auto number = [](int i) { return static_cast<std::uint32_t>(20 + i); };
-    discovery_at_ = lab::free_address(net::Family::ip4, number(0));
-    discovery_ = std::make_unique<lab::Discovery>(loop_, discovery_at_);
+    discovery_at_ = standins::free_address(net::Family::ip4, number(0));
+    discovery_ = std::make_unique<standins::Discovery>(loop_, discovery_at_);
     for (int i = 0; i < kServers; ++i) {
-      const net::Address address = lab::free_address(net::Family::ip4, number(10 + i));
+      const net::Address address = standins::free_address(net::Family::ip4, number(10 + i));
       if (kind == Kind::frames) {
         leaves_.push_back(
-            std::make_unique<lab::Leaf>(loop_, lab::LeafOptions{}, static_cast<std::uint32_t>(i)));
-        lab::Leaf& leaf = *leaves_.back();
+            std::make_unique<standins::Leaf>(loop_, standins::LeafOptions{}, static_cast<std::uint32_t>(i)));
+        standins::Leaf& leaf = *leaves_.back();
         leaf.listen(address);
         leaf.value = [this, i](const std::string& text, int shard) {
           const auto ask = search::read_part_ask(text);
@@ -109,7 +109,7 @@
           return catalogue_.answer(text, shard);
         };
       } else {
-        search_servers_.push_back(std::make_unique<lab::SearchServer>(
+        search_servers_.push_back(std::make_unique<standins::SearchServer>(
             loop_, kind == Kind::sru ? search::Protocol::sru : search::Protocol::z3950, address, catalogue_,
             "clauses"));
         search_servers_.back()->ran = [this, i](int shard, const search::PartAsk& ask) {
@@ -118,14 +118,14 @@
         servers += "<server name=\"s0000" + std::to_string(i) + "\" speaks=\"" +
                    (kind == Kind::sru ? "sru" : "z3950") + "\" database=\"clauses{shard}\"/>\n";
       }
-      lab::Listed listed;
+      standins::Listed listed;
       listed.name = "s0000" + std::to_string(i);
       listed.address = address.text();
       listed.zone = "z0";
       listed_.push_back(listed);
       discovery_->set(listed);
     }
-    discovery_->told = [this](const lab::Listed& entry) {
+    discovery_->told = [this](const standins::Listed& entry) {
       Event event;
       event.what = What::learned;
       event.gatherer = 0;
@@ -135,15 +135,15 @@
                                                     : Standing::gone;
       note(event);
     };
-    http = lab::free_address(net::Family::ip4, number(1));
-    sru = lab::free_address(net::Family::ip4, number(2));
-    z3950 = lab::free_address(net::Family::ip4, number(3));
+    http = standins::free_address(net::Family::ip4, number(1));
+    sru = standins::free_address(net::Family::ip4, number(2));
+    z3950 = standins::free_address(net::Family::ip4, number(3));
     std::string file = lab::search_file(sru.text(), z3950.text(), limits);
     if (!servers.empty())
       file.insert(file.rfind("</marbledyke>"), "  <servers>\n" + servers + "  </servers>\n");
     const std::string path = gatherer.put("operator.xml", file);
-    nlohmann::json configuration = lab::configuration("rig", http, discovery_at_, discovery_->body(-1),
-                                                      lab::nested(terms_of(scenario_, 0)));
+    nlohmann::json configuration = standins::configuration("rig", http, discovery_at_, discovery_->body(-1),
+                                                      standins::nested(terms_of(scenario_, 0)));
     configuration["limits"]["sockets"] = sockets;
     gatherer.start(configuration, {"--operator", path}, "marbledyke-search");
     thread_ = std::thread([this] { run(); });
@@ -186,12 +186,12 @@
     post([&] {
       manners_[static_cast<std::size_t>(server)] = manner;
       if (kind_ != Kind::frames) return search_servers_[static_cast<std::size_t>(server)]->set(manner);
-      lab::Leaf& leaf = *leaves_[static_cast<std::size_t>(server)];
-      const lab::Door door = manner == Manner::refuses        ? lab::Door::refuses
-                             : manner == Manner::breaks_after ? lab::Door::resets_after_call
-                                                              : lab::Door::open;
+      standins::Leaf& leaf = *leaves_[static_cast<std::size_t>(server)];
+      const standins::Door door = manner == Manner::refuses        ? standins::Door::refuses
+                             : manner == Manner::breaks_after ? standins::Door::resets_after_call
+                                                              : standins::Door::open;
       leaf.set(0, door);
-      if (door == lab::Door::refuses) leaf.cut_all();
+      if (door == standins::Door::refuses) leaf.cut_all();
       // What is answered before the reset would be no loss.
       leaf.slow(manner == Manner::silent         ? Span(3600s)
                 : manner == Manner::breaks_after ? Span(50ms)
@@ -252,7 +252,7 @@
   }
 
   net::Address http, sru, z3950;
-  lab::Gatherer gatherer;
+  standins::Gatherer gatherer;
 
  private:
   void run() {
@@ -294,14 +294,14 @@
 
   Kind kind_;
   scenario::Scenario scenario_;
-  lab::Catalogue catalogue_;
+  standins::Catalogue catalogue_;
   Clock::time_point begun_ = Clock::now();
   net::Loop loop_;
   net::Address discovery_at_;
-  std::unique_ptr<lab::Discovery> discovery_;
-  std::vector<std::unique_ptr<lab::Leaf>> leaves_;
-  std::vector<std::unique_ptr<lab::SearchServer>> search_servers_;
-  std::vector<lab::Listed> listed_;
+  std::unique_ptr<standins::Discovery> discovery_;
+  std::vector<std::unique_ptr<standins::Leaf>> leaves_;
+  std::vector<std::unique_ptr<standins::SearchServer>> search_servers_;
+  std::vector<standins::Listed> listed_;
   std::vector<Manner> manners_ = std::vector<Manner>(kServers, Manner::answers);
   std::mutex mutex_, events_;
   std::function<void()> posted_;
--- a/tests/search_traces.cpp
+++ b/tests/search_traces.cpp
@@ -8,7 +8,7 @@
 
 #include "carrier/carrier.h"
 #include "cql/read.h"
-#include "lab/catalogue.h"
+#include "standins/catalogue.h"
 #include "search/desk.h"
 #include "sru/message.h"
 #include "sru/talk.h"
@@ -295,7 +295,7 @@
   Span now = 1s;
   config::Carriage its;
   search::Desk desk;
-  lab::Catalogue catalogue;
+  standins::Catalogue catalogue;
   std::set<int> away, mad;
   bool hold = false;
   std::vector<front::Asked> held;
