Relays trickle as slowly as they are told

Cause: telling that all was written came back into the delivery before its wait was set, so a trickle went out at once; the test of a trickling order then saw it answered, not given up.

Change: the wait is set before the bytes are written. keeper_rig_paths fails without it.

--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -134,6 +134,8 @@
       from.held_bytes -= count;
       bytes.erase(0, count);
       if (bytes.empty()) from.held.pop_front();
+      // Before the flush, which may come back here.
+      if (way.trickle > 0) wait(pair, there, loop_.now() + steps_of(way.trickle).second);
       to.flush();
       if (to.closed()) return;
     }
@@ -143,8 +145,11 @@
   }
   if (from.held.empty() && from.ended) return drop(pair, false);
   if (from.held.empty() || way.held || from.due) return;
-  const Span when = std::max(from.held.front().first, loop_.now() + (way.trickle > 0 ? steps_of(way.trickle).second : 1ms));
-  from.due = loop_.at(when, [this, number = pair.number, there] {
+  wait(pair, there, std::max(from.held.front().first, loop_.now() + 1ms));
+}
+
+void Relay::wait(Pair& pair, bool there, Span until) {
+  pair.side(there).due = loop_.at(until, [this, number = pair.number, there] {
     const auto at = pairs_.find(number);
     if (at == pairs_.end()) return;
     at->second->side(there).due.reset();
--- a/src/rig/relay.h
+++ b/src/rig/relay.h
@@ -53,6 +53,7 @@
   void came(net::Descriptor fd);
   void arrived(Pair& pair, bool there);
   void deliver(Pair& pair, bool there);
+  void wait(Pair& pair, bool there, Span until);
   void ended(Pair& pair, bool there);
   void drop(Pair& pair, bool reset);
 
