marbledyke-fleet: a fleet's file, checked with lines; status, watch and orders by hand

Need: nothing showed a fleet as a whole, and orders were written by hand as JSON.

Change: deploy/fleet.xsd and src/fleet: the file, calls to many keepers at once, each within a limit, a view without I/O, and the tool (ncurses for watch). A look can remember the last one and so say since when a keeper cannot be reached.

--- /dev/null
+++ b/src/fleet/main.cpp
@@ -0,0 +1,220 @@
+// marbledyke-fleet: the tool over a fleet's keepers. docs/fleet.md is for operators.
+#include <ncurses.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+#include "config/fields.h"
+#include "fleet/file.h"
+#include "fleet/talk.h"
+#include "fleet/view.h"
+#include "keeper/orders.h"
+
+namespace {
+
+using namespace marbledyke;
+using namespace std::chrono_literals;
+using fleet::Fleet;
+using nlohmann::json;
+
+constexpr Span kLimit = 2s;
+
+std::int64_t now_ms() { return machine_clock().wall() / 1ms; }
+
+std::optional<Fleet> read(const std::string& file) {
+  const fleet::Read result = fleet::read_fleet_file(file);
+  for (const config::Fault& fault : result.faults) std::cerr << config::text_of(file, fault) << '\n';
+  return result.fleet;
+}
+
+// Asks each keeper once.
+void ask_all(net::Loop& loop, const Fleet& fleet, fleet::View& view) {
+  fleet::Talk talk(loop);
+  loop.read_clock();
+  for (const fleet::KeeperAt& keeper : fleet.keepers) {
+    talk.call(keeper.control, "GET", "/status", "", kLimit, [&view, &keeper](const fleet::Answer& answer) {
+      if (answer.status == 200 && answer.body.is_object()) {
+        view.answered(keeper.name, answer.body, now_ms());
+      } else {
+        view.silent(keeper.name, answer.status != 0 ? "status " + std::to_string(answer.status) : answer.why, now_ms());
+      }
+    });
+  }
+  while (talk.out() > 0) loop.gather();
+  loop.at(loop.now(), [] {});
+  loop.gather();  // the last is told in a turn of its own
+}
+
+// What was seen before is taken from the file and put back, so that one look after another can say since when.
+void remember(const std::string& file, const Fleet& fleet, fleet::View& view) {
+  if (file.empty()) return;
+  std::ifstream in(file);
+  const json before = json::parse(in, nullptr, false);
+  if (!before.is_object() || !before.contains("keepers")) return;
+  for (const json& one : before["keepers"]) {
+    const std::string name = one.value("name", "");
+    if (fleet.find(name) == nullptr) continue;
+    if (one.contains("status") && one.value("answered_ms", std::int64_t{0}) > 0)
+      view.answered(name, one["status"], one.value("reachable", false) ? one.value("since_ms", std::int64_t{0})
+                                                                       : one.value("answered_ms", std::int64_t{0}));
+    if (!one.value("reachable", false)) view.silent(name, one.value("why", ""), one.value("since_ms", std::int64_t{0}));
+  }
+}
+
+int status(const Fleet& fleet, bool as_json, const std::string& seen) {
+  net::Loop loop;
+  fleet::View view(fleet);
+  remember(seen, fleet, view);
+  ask_all(loop, fleet, view);
+  if (!seen.empty()) {
+    std::ofstream(seen + ".new") << view.as_json(now_ms()).dump() << '\n';
+    std::rename((seen + ".new").c_str(), seen.c_str());
+  }
+  if (as_json) {
+    std::cout << view.as_json(now_ms()).dump(1) << '\n';
+  } else {
+    for (const std::string& line : view.table(now_ms())) std::cout << line << '\n';
+  }
+  return view.verdict();
+}
+
+int watch(const Fleet& fleet, double every) {
+  net::Loop loop;
+  fleet::View view(fleet);
+  if (isatty(STDOUT_FILENO) == 0) {
+    std::cerr << "marbledyke-fleet: watch wants a terminal; use status\n";
+    return 2;
+  }
+  initscr();
+  cbreak();
+  noecho();
+  curs_set(0);
+  keypad(stdscr, TRUE);
+  std::size_t from = 0;
+  for (bool on = true; on;) {
+    ask_all(loop, fleet, view);
+    const Span until = loop.now() + Span(static_cast<std::int64_t>(every * 1e6));
+    while (on && loop.now() < until) {
+      const std::vector<std::string> lines = view.table(now_ms(), static_cast<std::size_t>(COLS));
+      const auto room = static_cast<std::size_t>(std::max(LINES - 3, 1));
+      from = std::min(from, lines.size() > room + 1 ? lines.size() - room - 1 : 0);
+      erase();
+      attron(A_BOLD);
+      mvaddstr(0, 0, lines.front().c_str());
+      attroff(A_BOLD);
+      for (std::size_t i = 0; i < room && 1 + from + i + 1 < lines.size(); ++i) {
+        const std::string& line = lines[1 + from + i];
+        const bool bad = line.find("UNREACHABLE") != std::string::npos || line.find("given up") != std::string::npos;
+        if (bad) attron(A_REVERSE);
+        mvaddstr(static_cast<int>(1 + i), 0, line.c_str());
+        if (bad) attroff(A_REVERSE);
+      }
+      mvaddstr(LINES - 2, 0, lines.back().c_str());
+      mvaddstr(LINES - 1, 0, "q ends, arrows scroll");
+      refresh();
+      timeout(200);
+      const int key = getch();
+      if (key == 'q') on = false;
+      if (key == KEY_DOWN) ++from;
+      if (key == KEY_UP && from > 0) --from;
+      loop.read_clock();
+    }
+  }
+  endwin();
+  return view.verdict();
+}
+
+// One order to one keeper, by hand. Its epoch and number follow the last that the keeper took, unless they are said.
+int order(const Fleet& fleet, const std::string& name, json order) {
+  const fleet::KeeperAt* const keeper = fleet.find(name);
+  if (keeper == nullptr) {
+    std::cerr << "marbledyke-fleet: there is no keeper " << name << '\n';
+    return 2;
+  }
+  net::Loop loop;
+  loop.read_clock();
+  fleet::Talk talk(loop);
+  const auto ask = [&](const char* method, const char* target, const std::string& body) {
+    std::optional<fleet::Answer> out;
+    talk.call(keeper->control, method, target, body, kLimit, [&out](const fleet::Answer& answer) { out = answer; });
+    while (!out) loop.gather();
+    return *out;
+  };
+  if (!order.contains("number")) {
+    const fleet::Answer present = ask("GET", "/status", "");
+    if (present.status != 200) {
+      std::cerr << "marbledyke-fleet: " << name << ": " << present.why << '\n';
+      return 2;
+    }
+    const json last = present.body.value("order", json::object());
+    const auto epoch = last.value("epoch", std::uint64_t{0});
+    if (!order.contains("epoch")) order["epoch"] = epoch;
+    order["number"] = order["epoch"] == epoch ? last.value("number", std::uint64_t{0}) + 1 : 1;
+  }
+  const fleet::Answer answer = ask("POST", "/order", order.dump());
+  if (answer.status == 0 || !answer.body.is_object()) {
+    std::cerr << "marbledyke-fleet: " << name << ": " << answer.why << "; it may have been taken: repeat it with --epoch "
+              << order["epoch"] << " --number " << order["number"] << '\n';
+    return 2;
+  }
+  std::cout << answer.body.value("verdict", answer.body.value("error", "")) << ", "
+            << answer.body.value("outcome", "") << '\n';
+  return answer.status < 300 ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app("A fleet's keepers: what runs where, and orders to one of them.");
+  app.set_version_flag("--version", "marbledyke " MARBLEDYKE_VERSION);
+  app.require_subcommand(1);
+  std::string file, seen, name, kind, version, from;
+  bool as_json = false;
+  double every = 1;
+  std::int64_t epoch = -1, number = -1;
+  double trial = 0;
+  const auto with_file = [&](CLI::App* command) {
+    command->add_option("FLEET", file, "The fleet's file (XML, deploy/fleet.xsd)")->required();
+    return command;
+  };
+  CLI::App* const check_command = with_file(app.add_subcommand("check", "Say what is wrong with a fleet's file"));
+  CLI::App* const status_command = with_file(app.add_subcommand("status", "A table of who runs what, and how it serves"));
+  status_command->add_flag("--json", as_json, "All that the keepers say, as JSON");
+  status_command->add_option("--seen", seen, "A file that remembers what was seen, to say since when");
+  CLI::App* const watch_command = with_file(app.add_subcommand("watch", "The table, kept up in this terminal"));
+  watch_command->add_option("--every", every, "Seconds between two looks")->check(CLI::Range(0.2, 3600.0));
+  CLI::App* const order_command = with_file(app.add_subcommand("order", "One order to one keeper"));
+  order_command->add_option("KEEPER", name)->required();
+  order_command->add_option("ORDER", kind, "use, run, stop, confirm, take or drop")->required();
+  order_command->add_option("VERSION", version, "of use, take and drop");
+  order_command->add_option("--from", from, "take: the folder on that machine it is copied from");
+  order_command->add_option("--trial", trial, "use: taken back unless confirmed within so many seconds");
+  order_command->add_option("--epoch", epoch, "of who is in charge; that of the last order otherwise");
+  order_command->add_option("--number", number, "of the order, to repeat one");
+  CLI11_PARSE(app, count, words);
+
+  const std::optional<Fleet> fleet = read(file);
+  if (!fleet) return 1;
+  if (*check_command) {
+    std::cout << file << ": good, " << fleet->keepers.size() << " keepers in " << fleet->zones.size() << " zones\n";
+    return 0;
+  }
+  if (*status_command) return status(*fleet, as_json, seen);
+  if (*watch_command) return watch(*fleet, every);
+  json what = {{"order", kind}};
+  if (!version.empty()) what["version"] = version;
+  if (!from.empty()) what["from"] = from;
+  if (trial > 0) what["trial_ms"] = static_cast<std::int64_t>(trial * 1000);
+  if (epoch >= 0) what["epoch"] = epoch;
+  if (number >= 0) what["number"] = number;
+  if (number >= 0 && epoch < 0) {
+    std::cerr << "marbledyke-fleet: --number wants --epoch\n";
+    return 2;
+  }
+  return order(*fleet, name, what);
+}
--- a/src/keeper/control.h
+++ b/src/keeper/control.h
@@ -17,10 +17,6 @@
 
 namespace marbledyke::keeper {
 
-// Why nobody may be let in there: wildcard and public addresses. Empty: loopback, a private address (RFC 1918,
-// RFC 4193, link-local) or a Unix socket.
-std::string not_private(const net::Address& address);
-
 struct Reply {
   int status = 200;
   std::string body;  // JSON
--- a/src/keeper/program.cpp
+++ b/src/keeper/program.cpp
@@ -11,6 +11,7 @@
 
 #include "config/fields.h"
 #include "keeper/keeper.h"
+#include "keeper/private.h"
 #include "log/log.h"
 
 namespace marbledyke::keeper {
--- a/tests/keeper_traces.cpp
+++ b/tests/keeper_traces.cpp
@@ -8,8 +8,8 @@
 
 #include "config/fields.h"
 #include "emulator/keepers.h"
-#include "keeper/control.h"
 #include "keeper/orders.h"
+#include "keeper/private.h"
 #include "totals/totals.h"
 
 using namespace marbledyke;
