Scenarios with keepers and faults between processes, on sockets and in virtual time

Need: scenarios broke servers, the list and whole gatherers, but nothing between processes, and knew no keeper.

The checker follows a gatherer over its processes: one that stands still has its slack from its return, one that comes beside another has a floor of further sends of its own and knows nothing of the list until told.

--- a/src/checker/checker.h
+++ b/src/checker/checker.h
@@ -31,6 +31,9 @@
   started,  // a server started, cold; or is there from the beginning, warm (cold = false)
   stopped,  // a server's process ended
   died,     // a gatherer's process ended: what it had in hand is over
+  stalled,      // a gatherer's process stands still: it can answer nothing
+  resumed,      // and goes on: it has the usual slack from now on
+  joined,       // another process of the same gatherer serves beside it, which then leaves: each has its floor
 };
 
 struct Event {
@@ -132,6 +135,7 @@
   };
   struct Budget {
     std::deque<Span> taken, further;
+    std::deque<Span> joined;
   };
 
   void breach(int rule, const std::string& what, Span at, const std::vector<Event>& trace);
@@ -139,6 +143,7 @@
   void arrived(const Event& event);
   void final(const Event& event, Multiget& mg);
   void forget(std::uint64_t id, Span at);
+  void unlearn(int gatherer);
 
   Rules rules_;
   std::unordered_map<std::uint64_t, Multiget> open_;  // looked up by id only, never walked in order
@@ -149,6 +154,7 @@
   std::map<std::pair<int, int>, Span> taking_nothing_;  // gatherer and server: since when it knows
   std::map<std::pair<int, int>, Span> knows_cold_;  // server and gatherer: since when it knows of the start
   std::map<int, Budget> budgets_;
+  std::map<int, std::vector<std::uint64_t>> stalled_;  // by gatherer: whose time was up meanwhile
   std::vector<Breach> breaches_;
   std::vector<std::uint64_t> counts_ = std::vector<std::uint64_t>(7);
 };
--- a/src/scenario/draw.cpp
+++ b/src/scenario/draw.cpp
@@ -60,7 +60,7 @@
   const int faults = whole(1, 4);
   for (int i = 0; i < faults; ++i) {
     Fault f;
-    f.kind = static_cast<FaultKind>(whole(0, kFaultKinds - 1));
+    f.kind = static_cast<FaultKind>(whole(0, kServerFaultKinds - 1));
     f.from = std::chrono::milliseconds(whole(30, 120) * 100);
     f.until = f.from + std::chrono::milliseconds(whole(5, 60) * 100);
     f.share = 0.1 * whole(1, 6);
@@ -78,6 +78,41 @@
   return s;
 }
 
+Scenario draw_kept(std::uint32_t seed) {
+  Scenario s = draw(seed);
+  std::mt19937 chance(seed * 2654435761U + 77);
+  const auto whole = [&](int least, int most) {
+    return least + static_cast<int>(chance() % static_cast<std::uint32_t>(most - least + 1));
+  };
+  s.name = "kept-" + std::to_string(seed);
+  s.length = 12s;
+  s.settle = 2s;
+  s.gatherers.kept = true;
+  s.gatherers.count = whole(2, 8);
+  s.load.rate = std::min(s.load.rate, 150.0);  // several at a time play on one machine
+  const int faults = whole(1, 4);
+  if (s.faults.size() > 1) s.faults.resize(1);
+  for (Fault& f : s.faults) {
+    f.from = std::min(f.from, Span(6s));
+    f.until = std::clamp(f.until, f.from + 500ms, Span(10s));
+    if (f.kind == FaultKind::kill_gatherer) f.first = -1;
+  }
+  for (int i = 0; i < faults; ++i) {
+    Fault f;
+    f.kind = static_cast<FaultKind>(whole(static_cast<int>(FaultKind::kill_gatherer), kFaultKinds - 1));
+    f.from = std::chrono::milliseconds(whole(25, 70) * 100);
+    f.until = f.from + std::chrono::milliseconds(whole(5, 30) * 100);
+    f.share = 0.1 * whole(2, 10);
+    f.strength = f.kind == FaultKind::path_slow      ? whole(5, 60)
+                 : f.kind == FaultKind::path_reset   ? whole(1, 40)
+                 : f.kind == FaultKind::keeper_clock ? 0.1 * whole(6, 16)
+                                                     : 1;
+    if (chance() % 3 == 0) f.step = std::chrono::milliseconds(whole(1, 5) * 100);
+    s.faults.push_back(f);
+  }
+  return s;
+}
+
 Scenario shrink(const Scenario& failing, const std::function<bool(const Scenario&)>& fails, int most_asked) {
   Scenario best = failing;
   int asked = 0;
@@ -111,6 +146,7 @@
       return true;
     };
     with([&](Scenario& s) { return halve(s.gatherers.count, 1); });
+    with([&](Scenario& s) { return std::exchange(s.gatherers.kept, false); });
     with([&](Scenario& s) { return halve(s.fleet.cells, 1); });
     with([&](Scenario& s) { return halve(s.fleet.servers, 2); });
     with([&](Scenario& s) { return halve(s.fleet.zones, 1); });
--- a/src/scenario/xml.cpp
+++ b/src/scenario/xml.cpp
@@ -114,6 +114,7 @@
       r.whole(at, "room", 1, 1'000'000, s.gatherers.room);
       r.whole(at, "most-sends", 1, 8, s.gatherers.most_sends);
       r.flag(at, "copies", s.gatherers.copies);
+      r.flag(at, "kept", s.gatherers.kept);
       r.span(at, "further-window", 1ms, kLong, s.gatherers.further_window);
       r.number(at, "further-share", 0, 10, s.gatherers.further_share);
       r.number(at, "further-floor", 0, 1e6, s.gatherers.further_floor);
@@ -196,6 +197,7 @@
   count("room", s.gatherers.room);
   count("most-sends", s.gatherers.most_sends);
   put("copies", s.gatherers.copies ? "true" : "false");
+  if (s.gatherers.kept) put("kept", "true");
   span("further-window", s.gatherers.further_window);
   real("further-share", s.gatherers.further_share);
   real("further-floor", s.gatherers.further_floor);
--- a/tests/emulator_traces.cpp
+++ b/tests/emulator_traces.cpp
@@ -128,12 +128,16 @@
     f.share = 0.34;
     f.strength = kind == FaultKind::slow ? 8 : kind == FaultKind::stampede ? 3 : 0.7;
     if (kind == FaultKind::partition) f.zone = 0;
+    if (kind == FaultKind::path_slow) f.strength = 60;
+    s.gatherers.kept = kind >= FaultKind::pause_gatherer;
     s.faults = {f};
+    long by_followers = 0;
     std::map<What, long> seen;
     std::map<Fate, long> told;
     options.tamper = [&](checker::Event& event) {
       seen[event.what] += 1;
       if (event.what == What::told) told[event.fate] += 1;
+      if (event.what == What::sent && event.gatherer >= s.gatherers.count) ++by_followers;
     };
     const emulator::Result r = emulator::play(s, options);
     const auto during = [&](const emulator::Result& of) {
@@ -156,6 +160,25 @@
     } else if (kind == FaultKind::kill_gatherer) {
       felt = seen[What::died] == 1 && lost > 0;
       how = "one dies, what it had in hand is lost or asked again";
+    } else if (kind == FaultKind::pause_gatherer) {
+      felt = seen[What::stalled] == 1 && seen[What::resumed] == 1 && lost > 0.02;
+      how = "one stands still, its clients wait in vain";
+    } else if (kind == FaultKind::swap_gatherer) {
+      felt = by_followers > 100 && seen[What::died] == 0 && std::abs(lost) < 0.02;
+      how = "another process sends from then on, nothing is lost";
+    } else if (kind == FaultKind::list_cut) {
+      felt = std::abs(lost) < 0.02 && r.digest != base.digest;
+      how = "one is told nothing; with a fleet that stays as it is it is none the worse for it";
+    } else if (kind == FaultKind::path_slow) {
+      felt = r.p90 > base.p90 + 40ms;
+      how = "answers come later";
+    } else if (kind == FaultKind::path_reset) {
+      felt = told[Fate::dropped] > 0;
+      how = "what is out on broken connections is dropped";
+    } else if (kind == FaultKind::kill_keeper || kind == FaultKind::pause_keeper ||
+               kind == FaultKind::keeper_clock) {
+      felt = r.digest == base.digest;
+      how = "gatherers serve on as if nothing were";
     } else if (kind == FaultKind::stampede) {
       felt = r.seconds[6].asked > 2 * base.seconds[6].asked;
       how = "three times as much is asked";
--- a/tests/stage_traces.cpp
+++ b/tests/stage_traces.cpp
@@ -77,6 +77,28 @@
   print("a gatherer killed", lab::stage(installation({fault(FaultKind::kill_gatherer, 0.5)}), {}, kGoesOn));
 }
 
+// Gatherers under keepers, and what lies between broken.
+void kept() {
+  const auto of = [](std::vector<Fault> faults) {
+    scenario::Scenario s = installation(std::move(faults));
+    s.gatherers.kept = true;
+    s.gatherers.count = 3;
+    return s;
+  };
+  const auto play = [&](const char* what, std::vector<Fault> faults) {
+    print(what, lab::stage(of(std::move(faults)), {}, kGoesOn));
+  };
+  play("all killed, their keepers start them", {fault(FaultKind::kill_gatherer, 1)});
+  play("all swapped under load", {fault(FaultKind::swap_gatherer, 1)});
+  play("one stands still", {fault(FaultKind::pause_gatherer, 0.3)});
+  play("keepers killed while gatherers are", {fault(FaultKind::kill_keeper, 0.6), fault(FaultKind::kill_gatherer, 0.3)});
+  play("keepers stand still, their clocks are fast",
+       {fault(FaultKind::pause_keeper, 0.3), fault(FaultKind::keeper_clock, 0.6, 1.5)});
+  play("list cut, and a path lost", {fault(FaultKind::list_cut, 0.6), fault(FaultKind::path_lost, 0.3)});
+  play("paths slow, and reset within answers",
+       {fault(FaultKind::path_slow, 0.6, 30), fault(FaultKind::path_reset, 0.3, 2)});
+}
+
 // Each event bent is one that only the sockets' side tells.
 void seen() {
   const auto caught = [](const char* what, int rule, std::function<void(Event&)> tamper) {
@@ -111,6 +133,7 @@
   signal(SIGPIPE, SIG_IGN);
   const std::string what = count > 1 ? words[1] : "";
   if (what == "faults") return faults(), 0;
+  if (what == "kept") return kept(), 0;
   if (what == "seen") return seen(), 0;
   return 2;
 }
