Rolling changes decided without I/O: plans, a judge by sequential tests, a conductor

Change: src/rollout. The judge holds new against old by op type and zone over the same seconds with a mixture test that may be looked at any time, the chance of a false stop shared by all comparisons; too little traffic, harm to the others and a trouble of all are verdicts of their own. The conductor is a table of state and event, kept before each order, and may be replaced at any moment. src/emulator/rollouts plays both over a modelled fleet. Nothing conducts real keepers with them yet.

Tried and left: betting on bounded differences passed no stage in ten minutes. Mended on the way: a cluster alone in the first block stopped a fifth of sound rollouts; blocks in a trouble of all stopped two in a hundred; keepers whose order was on its way when a stage was stopped stayed on the new version.

The lab: the checker and the stage no longer blame a gatherer for what a client wrote while it stood still or was being started, for answers lost on a broken path, and for parts it had withdrawn while they ran (all seen as breaches in drawn fleets that were the rig's own).

--- a/src/checker/checker.h
+++ b/src/checker/checker.h
@@ -52,6 +52,7 @@
   Fate fate = Fate::unused;
   Standing standing = Standing::up;
   Span until{};
+  bool heard = true;  // told, returned: it is known that the gatherer had it, not only that it was said
   double work = 0;  // arrived: seconds on one core that it is told to take
 };
 std::string text_of(const Event& event);
@@ -111,14 +112,14 @@
     std::vector<Send> sends;
     int runs = 0;
     bool returned = false;
-    Span returned_at{};
+    std::optional<Span> returned_at;  // none: whether the gatherer heard of it is not known
     std::optional<Span> first_run;
   };
   struct Multiget {
     int gatherer = -1;
     int op_type = 0;
     int parts = 0;
-    Span until{}, taken{};
+    Span until{}, taken{}, asked_until{};
     bool over = false;
     Span over_at{};
     int out = 0;
@@ -154,7 +155,11 @@
   std::map<std::pair<int, int>, Span> taking_nothing_;  // gatherer and server: since when it knows
   std::map<std::pair<int, int>, Span> knows_cold_;  // server and gatherer: since when it knows of the start
   std::map<int, Budget> budgets_;
-  std::map<int, std::vector<std::uint64_t>> stalled_;  // by gatherer: whose time was up meanwhile
+  struct Stall {
+    Span since{};
+    std::vector<std::uint64_t> up;  // whose time was up meanwhile
+  };
+  std::map<int, Stall> stalled_;  // by gatherer
   std::vector<Breach> breaches_;
   std::vector<std::uint64_t> counts_ = std::vector<std::uint64_t>(7);
 };
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -12,6 +12,7 @@
 #include "emulator/policy.h"
 #include "emulator/world.h"
 #include "lab/experiments.h"
+#include "lab/keepers.h"
 #include "lab/sockets.h"
 #include "lab/stage.h"
 #include "scenario/draw.h"
@@ -143,6 +144,14 @@
       app.add_subcommand("twins", "Play one installation under each fault, emulated and on sockets");
   twins_of->add_option("--only", name, "One fault");
   twins_of->add_option("--seed", seed);
+  lab::KeeperMeasures measures;
+  CLI::App* const keepers =
+      app.add_subcommand("keepers", "Measure keepers on real processes: returns, swaps under load, cost");
+  keepers->add_option("--out", directory, "A folder that is not there yet")->required();
+  keepers->add_option("--kills", measures.kills)->check(CLI::Range(1, 10'000));
+  keepers->add_option("--swaps", measures.swaps)->check(CLI::Range(1, 10'000));
+  keepers->add_option("--rate", measures.rate, "Multigets a second during swaps")->check(CLI::Range(1, 100'000));
+  keepers->add_option("--pairs", measures.pairs)->check(CLI::Range(1, 100));
   CLI::App* const list = app.add_subcommand("list", "Name the experiments");
   CLI::App* const run = app.add_subcommand("run", "Run an experiment and keep its results");
   run->add_option("NAME", name)->required()->check(CLI::IsMember(lab::experiment_names()));
@@ -232,6 +241,10 @@
     }
     return cut ? 3 : 0;
   }
+  if (*keepers) {
+    heed_signals();
+    return lab::measure_keepers(measures, directory, stopped);
+  }
   if (*twins_of) return twins(name, seed);
   if (*list) {
     for (const std::string& each : lab::experiment_names()) {
--- a/src/rig/process.cpp
+++ b/src/rig/process.cpp
@@ -29,10 +29,14 @@
   return access((beside + name).c_str(), X_OK) == 0 ? beside + name : beside + "../" + name;
 }
 
-Process::~Process() {
+Process::~Process() { end(); }
+
+void Process::end() {
   if (pid_ <= 0 || ended()) return;
   ::kill(pid_, SIGKILL);
-  waitpid(pid_, nullptr, 0);
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  status_ = status;
 }
 
 void Process::start(const std::vector<std::string>& words, const std::map<std::string, std::string>& environment,
--- a/src/rig/process.h
+++ b/src/rig/process.h
@@ -30,6 +30,7 @@
   void start(const std::vector<std::string>& words, const std::map<std::string, std::string>& environment,
              const std::string& log);
   void signal(int which);
+  void end();  // at once, and waits for it
   // Its wait status once it has ended.
   std::optional<int> ended();
   pid_t pid() const { return pid_; }
--- /dev/null
+++ b/src/rollout/conductor.h
@@ -0,0 +1,140 @@
+// A rolling change as a machine without I/O: a table of state and event, every pair handled or declared impossible.
+// It is told what keepers report, what the judge says and what time it is; the orders that it decides on are pulled
+// with next(). What has to survive it is kept(); a successor goes on from that and from what the keepers report, and
+// may give an order again, which keepers recognise.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rollout/plan.h"
+
+namespace marbledyke::rollout {
+
+enum class State {
+  planned,     // nothing was done
+  checking,    // every keeper has the version, whole, and is at rest
+  watching,    // both sides as they are, before the first change
+  swapping,    // a stage's keepers are being changed
+  soaking,     // the stage shows itself
+  waiting,     // too little was asked to tell, or a trouble strikes old and new alike
+  paused,      // by a person, between two steps
+  returning,   // what was changed goes back
+  done,        // every stage has passed
+  returned,    // everything is as it was
+  held,        // the way back failed somewhere: a person has to look
+  refused      // nothing was changed, since something was not ready
+};
+inline constexpr int kStates = 12;
+enum class Happens {
+  start,
+  ready,       // every keeper is
+  not_ready,
+  watched,     // long enough before the change
+  swapped,     // all of the stage
+  swap_failed,
+  passed,
+  too_little,  // or a trouble of all
+  goes_on,     // the trouble is over
+  stop,        // the judge says so
+  waited_out,  // the longest wait is over
+  pause,
+  resume,
+  back,        // a person wants it back
+  all_back,
+  back_failed
+};
+inline constexpr int kHappens = 16;
+const char* name_of(State state);
+const char* name_of(Happens event);
+std::optional<State> state_named(const std::string& name);
+
+enum class At { old, ordered, on_trial, confirmed, back_ordered, back, held };  // a keeper
+const char* name_of(At at);
+
+// What a keeper says of itself.
+struct Report {
+  std::string in_force, outcome, why;
+  std::uint64_t epoch = 0, number = 0;  // of the last order it took
+  bool has_version = false, serves = false, gave_up = false;
+  std::uint64_t ends = 0, broken_invariants = 0;
+};
+
+struct Act {
+  enum class What { keep, take, use, confirm, back, begin_judging, note } what = What::note;
+  std::string keeper, version, why;
+};
+
+// What survives a conductor.
+struct Kept {
+  State state = State::planned;
+  int stage = -1;
+  std::uint64_t epoch = 0;
+  std::map<std::string, At> keepers;
+  std::map<std::string, std::string> former;  // what each goes back to
+  std::string why;
+  std::int64_t since_ms = 0;
+  State paused_from = State::planned;
+};
+nlohmann::json put(const Kept& kept);
+Kept read_kept(const nlohmann::json& from);  // throws config::BadInput
+
+class Conductor {
+ public:
+  // A successor is given what was kept, and an epoch above all that the keepers have seen.
+  Conductor(const Plan& plan, const std::vector<Member>& members, Kept kept, std::uint64_t epoch, Span now, Span wall);
+
+  void start() { on(Happens::start); }
+  void report(const std::string& keeper, const Report& report);
+  void unreachable(const std::string& keeper);
+  void judged(const Finding& finding);
+  void pause() { on(Happens::pause); }
+  void resume() { on(Happens::resume); }
+  void back(const std::string& why);
+  void tick(Span now, Span wall);
+
+  std::optional<Act> next();
+
+  const Kept& kept() const { return kept_; }
+  State state() const { return kept_.state; }
+  bool over() const;
+  // Of the stage under way: the soak is over, as far as its time goes.
+  bool soak_over() const;
+  Span soaked() const { return now_ - soak_since_; }
+  // Who has the new version, on trial or confirmed, and since when on this conductor's clock.
+  const std::map<std::string, Span>& changed() const { return changed_; }
+  const std::vector<std::vector<std::string>>& stages() const { return stages_; }
+  std::uint64_t impossible() const { return impossible_; }
+  const std::string& said() const { return said_; }  // of the wait, in words
+
+ private:
+  struct Cell;
+  void on(Happens event, const std::string& why = {});
+  void act(Act::What what, const std::string& keeper = {}, const std::string& why = {});
+  void order_some();      // of the stage, as many as may be at a time
+  void order_some_back();
+  void confirm_stage();
+  void look_at_stage();
+  std::vector<std::string> of(At at) const;
+
+  const Plan& plan_;
+  std::vector<Member> members_;
+  std::vector<std::vector<std::string>> stages_;
+  Kept kept_;
+  Span now_{}, wall_{};
+  Span since_{};  // in this state
+  Span soak_since_{}, wait_since_{};
+  std::map<std::string, Span> ordered_, changed_, last_heard_, back_since_, again_;
+  std::map<std::string, Report> reports_;
+  std::string said_;
+  std::uint64_t impossible_ = 0;
+  std::deque<Act> acts_;
+};
+
+}  // namespace marbledyke::rollout
--- a/src/standins/load.h
+++ b/src/standins/load.h
@@ -25,13 +25,14 @@
   std::string op_type = "look";
   int shards = 2;  // of which each multiget asks two, where there are two
   int timeout_ms = 2000;
+  bool may_repeat = false;  // a request that crossed with the end of its connection is sent once more
 };
 
 class Load {
  public:
   struct Tally {
     std::uint64_t due = 0, answered = 0, whole = 0, pushed_back = 0, failed = 0, timed_out = 0, cut = 0,
-                  opened = 0;
+                  opened = 0, sent_again = 0;
   };
 
   Load(net::Loop& loop, const net::Address& to, const LoadOptions& options);
@@ -49,6 +50,7 @@
   struct Request {
     Span due{};
     std::string id;
+    bool again = false;
   };
 
   void next();
--- a/src/standins/machine.h
+++ b/src/standins/machine.h
@@ -66,6 +66,7 @@
   std::deque<Piece> queue_;
   std::vector<std::pair<Piece, std::uint64_t>> held_;  // finished while it stood still
   std::set<int> cut_off_;
+  std::set<std::pair<std::uint64_t, std::string>> given_up_;  // of those that run
   double worked_ = 0;
   std::uint64_t ran_ = 0;
   Leaf leaf_;
--- a/src/totals/totals.cpp
+++ b/src/totals/totals.cpp
@@ -76,6 +76,14 @@
   return Span{};
 }
 
+std::uint64_t Latencies::above(Span value) const {
+  std::uint64_t out = 0;
+  if (!held_) return out;
+  const int from = held_->of.axis().index(static_cast<double>(std::max<std::int64_t>(value.count(), 1)));
+  for (int i = from + 1; i <= kBuckets; ++i) out += held_->of.at(i);
+  return out;
+}
+
 nlohmann::json Latencies::put() const {
   nlohmann::json out = nlohmann::json::array();
   if (!held_) return out;
--- /dev/null
+++ b/tests/rollout_traces.cpp
@@ -0,0 +1,429 @@
+// Rolling changes as they are decided, without I/O: whom a stage changes, what the judge says of two sides, what the
+// conductor does with it, and both over an emulated fleet.
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+#include "emulator/rollouts.h"
+
+using namespace marbledyke;
+using namespace std::chrono_literals;
+using namespace marbledyke::rollout;
+
+namespace {
+
+std::vector<Member> members(int count, int zones) {
+  std::vector<Member> out;
+  for (int i = 0; i < count; ++i)
+    out.push_back({"m" + std::to_string(i), "z" + std::to_string(i % zones), i < 2 ? std::vector<std::string>{"first"} : std::vector<std::string>{}});
+  return out;
+}
+
+void plans() {
+  const auto show = [](const char* what, const Plan& plan, int count, int zones) {
+    std::printf("-- %s\n", what);
+    const auto stages = stages_of(plan, members(count, zones));
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+      std::printf("%s:", plan.stages[i].name.c_str());
+      for (const std::string& name : stages[i]) std::printf(" %s", name.c_str());
+      std::printf("\n");
+    }
+    for (const std::string& why : objections(plan, members(count, zones))) std::printf("objection: %s\n", why.c_str());
+  };
+  Plan plan;
+  plan.stages = {{"one", 1, 0, "", "", 60s}, {"quarter", 0, 0.25, "", "", 60s}, {"half", 0, 0.5, "", "", 60s}, {"all", 0, 1, "", "", 60s}};
+  show("twelve in three zones", plan, 12, 3);
+  show("a fleet of two", plan, 2, 1);
+  show("a fleet of one", plan, 1, 1);
+  plan.stages = {{"group", 0, 0, "", "first", 60s}, {"zone", 0, 0, "z1", "", 60s}, {"rest", 0, 1, "", "", 60s}};
+  show("a group, then a zone", plan, 8, 2);
+  plan.stages = {{"most", 0, 0.8, "", "", 1s}, {"all", 0, 1, "", "", 60s}};
+  show("most at first, and no time", plan, 10, 2);
+}
+
+Side side(std::uint64_t asked, double bad, std::mt19937& chance) {
+  Side out;
+  out.asked = out.ended = asked;
+  const auto lost = static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(asked), bad)(chance));
+  out.good = out.answered = asked - lost;
+  out.failed = lost;
+  out.slow = static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(out.answered), 0.1)(chance));
+  out.sends = asked * 4;
+  out.further = static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(out.sends), 0.02)(chance));
+  out.cpu = 5e-5 * static_cast<double>(asked);
+  return out;
+}
+
+// Shares of what is asked and of what is lost, by op type and zone, for old and new; before the change and after.
+struct Case {
+  const char* name;
+  std::function<void(const Stratum&, bool is_new, bool after, int block, std::uint64_t& asked, double& bad)> how;
+};
+
+void verdicts() {
+  const Case cases[] = {
+      {"sound", [](const Stratum&, bool, bool, int, std::uint64_t&, double&) {}},
+      {"2% worse everywhere", [](const Stratum&, bool n, bool after, int, std::uint64_t&, double& bad) { bad += n && after ? 0.02 : 0; }},
+      {"8% worse in one op type of one zone",
+       [](const Stratum& s, bool n, bool after, int, std::uint64_t&, double& bad) {
+         bad += n && after && s.op_type == "issue" && s.zone == "a" ? 0.08 : 0;
+       }},
+      // The new ones are asked mostly what is easy: in sum they look better, in each op type they are worse.
+      {"better in sum, worse in each op type",
+       [](const Stratum& s, bool n, bool after, int, std::uint64_t& asked, double& bad) {
+         bad = s.op_type == "issue" ? 0.10 : 0.01;
+         if (!after) return;
+         if (n) asked = s.op_type == "issue" ? asked / 8 : asked * 2;
+         bad += n ? 0.03 : 0;
+       }},
+      {"unlike clients before and after alike",
+       [](const Stratum&, bool n, bool, int, std::uint64_t&, double& bad) { bad += n ? 0.03 : 0; }},
+      {"worse only from the 30th block on",
+       [](const Stratum&, bool n, bool after, int block, std::uint64_t&, double& bad) { bad += n && after && block >= 30 ? 0.04 : 0; }},
+      {"a trouble of all, blocks 5 to 20",
+       [](const Stratum&, bool, bool after, int block, std::uint64_t&, double& bad) { bad += after && block >= 5 && block < 20 ? 0.2 : 0; }},
+      {"the new ones take from the old",
+       [](const Stratum&, bool n, bool after, int, std::uint64_t&, double& bad) { bad += !n && after ? 0.10 : 0; }},
+      {"hardly anything is asked",
+       [](const Stratum&, bool, bool, int, std::uint64_t& asked, double&) { asked = asked / 100; }}};
+  for (const Case& one : cases) {
+    std::mt19937 chance(11);
+    Judge judge(Limits{}, 150);
+    const auto block = [&](bool after, int number) {
+      Block out;
+      for (const char* op : {"look", "issue"}) {
+        for (const char* zone : {"a", "b"}) {
+          const Stratum stratum{op, zone};
+          for (const bool is_new : {false, true}) {
+            std::uint64_t asked = is_new ? 200 : 1600;
+            double bad = 0.01;
+            one.how(stratum, is_new, after, number, asked, bad);
+            (is_new ? out[stratum].second : out[stratum].first) = side(asked, bad, chance);
+          }
+        }
+      }
+      return out;
+    };
+    for (int i = 0; i < 12; ++i) judge.before(block(false, i));
+    judge.begin();
+    rollout::Verdict last = rollout::Verdict::going;
+    std::string said;
+    int at = 0;
+    for (int i = 0; i < 48; ++i) {
+      judge.after(block(true, i));
+      const Finding found = judge.look(i >= 36);
+      if (found.verdict != last) {
+        said += (said.empty() ? "" : ", ") + std::string(name_of(found.verdict)) + " after " + std::to_string(i + 1);
+        last = found.verdict;
+        at = i;
+      }
+      if (last == rollout::Verdict::worse || last == rollout::Verdict::harm || last == rollout::Verdict::passed) break;
+    }
+    (void)at;
+    std::printf("%-40s %s\n", one.name, said.empty() ? "nothing" : said.c_str());
+  }
+  Judge leak(Limits{}, 10);
+  leak.memory(1e6, 0.1e6, 2);
+  std::printf("1 MB a minute, seen for 2 minutes: %s\n", name_of(leak.look(false).verdict));
+  leak.memory(1e6, 0.1e6, 4);
+  std::printf("seen for 4: %s, %s\n", name_of(leak.look(false).verdict), leak.look(false).what.c_str());
+  Judge both(Limits{}, 10);
+  both.memory(1e6, 0.9e6, 10);
+  std::printf("the old ones grow as well: %s\n", name_of(both.look(false).verdict));
+}
+
+// A fleet of keepers that carry out orders after a while, or do not, and a conductor that may be replaced at any time.
+struct Fleet {
+  struct One {
+    std::string version = "old", outcome = "done";
+    std::string to;
+    Span at = Span::max();
+    bool reachable = true, fails = false, fails_back = false, has = true;
+    std::uint64_t epoch = 0, uses = 0;
+  };
+  Plan plan;
+  std::vector<Member> its;
+  std::map<std::string, One> keepers;
+  std::unique_ptr<Conductor> conductor;
+  rollout::Kept kept;
+  std::uint64_t epoch = 0;
+  Span now{};
+  std::function<Finding(const Conductor&)> judge;
+  std::function<void(const std::string&)> told;
+  std::string broken;
+
+  explicit Fleet(int count) : its(members(count, 2)) {
+    plan.name = plan.version = "new";
+    plan.at_a_time = 2;
+    plan.before = 10s;
+    plan.burn_in = 2s;
+    plan.swap_limit = 20s;
+    plan.longest_wait = 60s;
+    plan.stages = {{"one", 1, 0, "", "", 20s}, {"half", 0, 0.5, "", "", 20s}, {"all", 0, 1, "", "", 10s}};
+    for (const Member& member : its) keepers[member.name] = {};
+    judge = [](const Conductor& c) {
+      Finding out;
+      out.verdict = c.soak_over() ? rollout::Verdict::passed : rollout::Verdict::going;
+      return out;
+    };
+    take_over();
+  }
+  void take_over() {
+    conductor = std::make_unique<Conductor>(plan, its, kept, ++epoch, now, 1000s + now);
+  }
+  void step() {
+    now += 1s;
+    for (auto& [name, one] : keepers) {
+      if (now < one.at) continue;
+      one.at = Span::max();
+      const bool bad = one.to == "new" ? one.fails : one.fails_back;
+      if (bad) {
+        one.outcome = one.to == "new" ? "back" : "held";
+      } else {
+        one.version = one.to;
+        one.outcome = one.to == "new" ? "on_trial" : "done";
+      }
+    }
+    if (conductor == nullptr) return;
+    conductor->tick(now, 1000s + now);
+    for (auto& [name, one] : keepers) {
+      if (!one.reachable) continue;
+      Report report;
+      report.in_force = one.version;
+      report.outcome = one.outcome;
+      report.why = "it failed";
+      report.epoch = one.epoch;
+      report.has_version = one.has;
+      report.serves = true;
+      conductor->report(name, report);
+    }
+    if (conductor->state() == State::soaking || conductor->state() == State::waiting || conductor->state() == State::swapping)
+      conductor->judged(judge(*conductor));
+    carry_out();
+  }
+  void carry_out() {
+    int stage_under_way = -1;
+    while (conductor != nullptr) {
+      const auto act = conductor->next();
+      if (!act) break;
+      if (act->what == Act::What::keep) kept = conductor->kept();
+      if (act->what == Act::What::note && told) told(act->why);
+      if (act->what != Act::What::use && act->what != Act::What::back && act->what != Act::What::confirm) continue;
+      One& one = keepers[act->keeper];
+      if (told) told((act->what == Act::What::use ? "use " : act->what == Act::What::back ? "back " : "confirm ") + act->keeper);
+      if (!one.reachable) continue;
+      if (act->what == Act::What::confirm) {
+        if (one.outcome == "on_trial") one.outcome = "done";
+        one.epoch = epoch;
+        continue;
+      }
+      if (act->what == Act::What::use) {
+        for (int i = 0; i < static_cast<int>(conductor->stages().size()); ++i) {
+          for (const std::string& name : conductor->stages()[static_cast<std::size_t>(i)]) {
+            if (name == act->keeper) stage_under_way = i;
+          }
+        }
+        if (stage_under_way != conductor->kept().stage) broken = "an order of another stage than the one under way";
+        if (one.version == "new") broken = "a step repeated";
+        one.uses += 1;
+      }
+      if (one.outcome == "under_way") continue;  // its keeper is busy with it
+      one.to = act->what == Act::What::use ? "new" : act->version;
+      one.outcome = "under_way";
+      one.epoch = epoch;
+      one.at = now + 3s;
+    }
+    int under_way = 0;
+    // One that cannot be reached holds up nobody else.
+    for (const auto& [name, one] : keepers) under_way += one.outcome == "under_way" && one.reachable ? 1 : 0;
+    if (under_way > plan.at_a_time) broken = "more at a time than the plan says";
+  }
+  void run(Span until) {
+    while (now < until && conductor != nullptr && !conductor->over()) step();
+  }
+  std::string end() const {
+    int new_ones = 0;
+    for (const auto& [name, one] : keepers) new_ones += one.version == "new" ? 1 : 0;
+    return std::string(name_of(conductor->state())) + ", " + std::to_string(new_ones) + " of " +
+           std::to_string(keepers.size()) + " new" + (conductor->kept().why.empty() ? "" : "; " + conductor->kept().why) +
+           (broken.empty() ? "" : "; BROKEN: " + broken) + (conductor->impossible() > 0 ? "; IMPOSSIBLE" : "");
+  }
+};
+
+void conductors() {
+  const auto play = [](const char* what, const std::function<void(Fleet&)>& how, bool tell = false) {
+    std::printf("-- %s\n", what);
+    Fleet fleet(6);
+    if (tell) {
+      fleet.told = [&fleet](const std::string& said) {
+        std::printf("%4lld  %s\n", static_cast<long long>(fleet.now / 1s), said.c_str());
+      };
+    }
+    fleet.conductor->start();
+    how(fleet);
+    fleet.run(1000s);
+    std::printf("%s\n", fleet.end().c_str());
+  };
+  play("sound", [](Fleet&) {}, true);
+  play("the judge stops the second stage",
+       [](Fleet& f) {
+         f.judge = [](const Conductor& c) {
+           Finding out;
+           if (c.kept().stage == 1 && c.soaked() > 5s) {
+             out.verdict = rollout::Verdict::worse;
+             out.what = "failed of look in a";
+           } else if (c.soak_over()) {
+             out.verdict = rollout::Verdict::passed;
+           }
+           return out;
+         };
+       },
+       true);
+  play("a keeper fails in the second stage", [](Fleet& f) { f.keepers["m3"].fails = true; });
+  play("the way back fails too",
+       [](Fleet& f) {
+         f.keepers["m3"].fails = true;
+         f.keepers["m0"].fails_back = true;
+       });
+  play("one does not have the version", [](Fleet& f) { f.keepers["m5"].has = false; });
+  play("one is never reached", [](Fleet& f) { f.keepers["m5"].reachable = false; });
+  play("half cannot be reached in the middle of a stage, for 30 s", [](Fleet& f) {
+    f.run(50s);
+    for (const char* name : {"m1", "m2", "m3"}) f.keepers[name].reachable = false;
+    f.run(80s);
+    for (auto& [name, one] : f.keepers) one.reachable = true;
+  });
+  play("too little to tell, for longer than the longest wait", [](Fleet& f) {
+    f.judge = [](const Conductor& c) {
+      Finding out;
+      if (c.soak_over()) {
+        out.verdict = rollout::Verdict::too_little;
+        out.what = "good of issue in all";
+      }
+      return out;
+    };
+  });
+  play("a trouble of all for 20 s", [](Fleet& f) {
+    f.judge = [&f](const Conductor& c) {
+      Finding out;
+      if (f.now > 30s && f.now < 50s) {
+        out.verdict = rollout::Verdict::trouble;
+      } else if (c.soak_over()) {
+        out.verdict = rollout::Verdict::passed;
+      }
+      return out;
+    };
+  });
+  play("one goes back by itself while it soaks", [](Fleet& f) {
+    f.run(45s);
+    for (auto& [name, one] : f.keepers) {
+      if (one.version == "new") {
+        one.version = "old";
+        one.outcome = "back";
+        break;
+      }
+    }
+  });
+  play("paused, then taken back by a person", [](Fleet& f) {
+    f.run(40s);
+    f.conductor->pause();
+    f.run(60s);
+    std::printf("paused at %s\n", name_of(f.conductor->kept().paused_from));
+    f.conductor->back("by hand");
+  });
+  play("paused and resumed", [](Fleet& f) {
+    f.run(40s);
+    f.conductor->pause();
+    f.run(60s);
+    f.conductor->resume();
+  });
+}
+
+// The conductor is replaced before each single act, and at random moments with keepers that fail at random: never a
+// step twice, never two stages under way, and always an end.
+void successors() {
+  std::map<std::string, int> ends;
+  int broken = 0, open = 0;
+  for (std::uint32_t seed = 1; seed <= 2000; ++seed) {
+    std::mt19937 chance(seed);
+    Fleet fleet(6);
+    const bool sound = seed % 2 == 0;
+    if (!sound) {
+      for (auto& [name, one] : fleet.keepers) {
+        one.fails = chance() % 12 == 0;
+        one.fails_back = chance() % 20 == 0;
+      }
+      fleet.judge = [&chance](const Conductor& c) {
+        Finding out;
+        const auto drawn = chance() % 200;
+        out.verdict = drawn == 0   ? rollout::Verdict::worse
+                      : drawn == 1 ? rollout::Verdict::harm
+                      : drawn < 20 ? rollout::Verdict::trouble
+                      : drawn < 40 ? rollout::Verdict::too_little
+                      : c.soak_over() ? rollout::Verdict::passed
+                                      : rollout::Verdict::going;
+        return out;
+      };
+    }
+    fleet.conductor->start();
+    for (int i = 0; i < 2000 && !fleet.conductor->over(); ++i) {
+      if (chance() % 15 == 0) {
+        fleet.take_over();  // the former one is gone, with what it had decided and not carried out
+        fleet.conductor->start();
+      }
+      if (!sound && chance() % 40 == 0) fleet.keepers["m" + std::to_string(chance() % 6)].reachable = chance() % 3 != 0;
+      if (chance() % 200 == 0) fleet.conductor->pause();
+      if (fleet.conductor->state() == State::paused && chance() % 10 == 0) fleet.conductor->resume();
+      fleet.step();
+    }
+    for (auto& [name, one] : fleet.keepers) one.reachable = true;
+    fleet.run(fleet.now + 600s);
+    if (!fleet.broken.empty() || fleet.conductor->impossible() > 0) {
+      if (++broken <= 3) std::printf("seed %u: %s\n", seed, fleet.end().c_str());
+    }
+    if (!fleet.conductor->over()) {
+      if (++open <= 3) std::printf("seed %u: no end: %s\n", seed, fleet.end().c_str());
+    }
+    ends[std::string(sound ? "sound: " : "failing: ") + name_of(fleet.conductor->state())] += 1;
+  }
+  std::printf("2000 rollouts under successors: broken %d, without an end %d\n", broken, open);
+  for (const auto& [end, count] : ends) std::printf("  %s%s\n", end.c_str(), count > 0 ? "" : " NEVER");
+}
+
+void fleets() {
+  const auto play = [](const char* what, int runs, const emulator::FleetModel& fleet, const emulator::Flaw& flaw) {
+    std::map<std::string, int> ends;
+    for (int i = 1; i <= runs; ++i) {
+      const emulator::RolloutResult r = emulator::roll(fleet, flaw, emulator::usual_plan(), static_cast<std::uint32_t>(i));
+      ends[std::string(name_of(r.end)) + " in stage " + std::to_string(r.stage + 1) + (r.impossible > 0 ? ", IMPOSSIBLE" : "")] += 1;
+    }
+    std::printf("%s:", what);
+    for (const auto& [end, count] : ends) std::printf(" %d %s;", count, end.c_str());
+    std::printf("\n");
+  };
+  emulator::FleetModel fleet;
+  fleet.gatherers = 300;
+  emulator::Flaw flaw;
+  play("sound", 15, fleet, flaw);
+  flaw.bad = 0.02;
+  play("2% lost", 10, fleet, flaw);
+  flaw.bad = 0;
+  flaw.others = 0.5;
+  play("takes from the others", 10, fleet, flaw);
+  flaw.others = 0;
+  fleet.trouble = true;
+  play("sound, with troubles of all", 15, fleet, flaw);
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  const std::map<std::string, std::function<void()>> cases{
+      {"plans", plans}, {"verdicts", verdicts}, {"conductors", conductors}, {"successors", successors}, {"fleets", fleets}};
+  const auto at = count == 2 ? cases.find(words[1]) : cases.end();
+  if (at == cases.end()) return 2;
+  at->second();
+  return 0;
+}
