Rolling changes over real keepers: marbledyke-fleet rollout, judged and taken back

Change: the plan as XML by a schema; src/rollout/evidence puts keepers' windows into blocks that line up over machines whose clocks do not, late ones for their own seconds; src/fleet/rollout asks keepers, gives orders with epoch and number, keeps its state before each, and is told pause, resume and back through its folder. Tables of emulated rollouts in experiments/rollouts.

Mended on the way: a successor had nothing from before the change and waited for ever in the last stage; a rig ran its loop while it was taken down, over timers of what was gone.

A gatherer that stands still for 0.9 s of each second goes through: its own latencies do not show it.

--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -10,9 +10,11 @@
 
 #include "config/fields.h"
 #include "fleet/file.h"
+#include "fleet/rollout.h"
 #include "fleet/talk.h"
 #include "fleet/view.h"
 #include "keeper/orders.h"
+#include "rollout/file.h"
 
 namespace {
 
@@ -196,14 +198,45 @@
   order_command->add_option("--trial", trial, "use: taken back unless confirmed within so many seconds");
   order_command->add_option("--epoch", epoch, "of who is in charge; that of the last order otherwise");
   order_command->add_option("--number", number, "of the order, to repeat one");
+  CLI::App* const rollout = app.add_subcommand("rollout", "A rolling change in stages, judged");
+  rollout->require_subcommand(1);
+  std::string plan_file, folder;
+  const auto with_plan = [&](CLI::App* command) {
+    with_file(command)->add_option("PLAN", plan_file, "The plan (XML, deploy/rollout.xsd)")->required();
+    return command;
+  };
+  const auto with_folder = [&](CLI::App* command) {
+    command->add_option("--folder", folder, "Where the rollout's state is")->required();
+    return command;
+  };
+  CLI::App* const plan_command = with_plan(rollout->add_subcommand("plan", "Print what would happen, to whom, for how long"));
+  CLI::App* const start_command = with_folder(with_plan(
+      rollout->add_subcommand("start", "Conduct it, or go on with it, until it is over; 0: done, 1: taken back, 3: held")));
+  CLI::App* const rollout_status_command = with_folder(rollout->add_subcommand("status", "How it stands"));
+  rollout_status_command->add_flag("--json", as_json, "All that is compared, as JSON");
+  CLI::App* const pause_command = with_folder(rollout->add_subcommand("pause", "No further step; it is judged on"));
+  CLI::App* const resume_command = with_folder(rollout->add_subcommand("resume", "On from there"));
+  CLI::App* const back_command = with_folder(rollout->add_subcommand("back", "Take back what was changed"));
+  CLI::App* const history_command = with_folder(rollout->add_subcommand("history", "Every step and order, with its time"));
   CLI11_PARSE(app, count, words);
 
+  if (*rollout_status_command) return fleet::rollout_status(folder, as_json);
+  if (*pause_command) return fleet::rollout_tell(folder, "pause");
+  if (*resume_command) return fleet::rollout_tell(folder, "resume");
+  if (*back_command) return fleet::rollout_tell(folder, "back");
+  if (*history_command) return fleet::rollout_history(folder);
   const std::optional<Fleet> fleet = read(file);
   if (!fleet) return 1;
   if (*check_command) {
     std::cout << file << ": good, " << fleet->keepers.size() << " keepers in " << fleet->zones.size() << " zones\n";
     return 0;
   }
+  if (*plan_command || *start_command) {
+    const rollout::Read plan = rollout::read_plan_file(plan_file);
+    for (const config::Fault& fault : plan.faults) std::cerr << config::text_of(plan_file, fault) << '\n';
+    if (!plan.plan) return 1;
+    return *plan_command ? fleet::rollout_plan(*fleet, *plan.plan) : fleet::rollout_start(*fleet, *plan.plan, folder);
+  }
   if (*status_command) return status(*fleet, as_json, seen);
   if (*watch_command) return watch(*fleet, every);
   json what = {{"order", kind}};
--- /dev/null
+++ b/src/fleet/rollout.h
@@ -0,0 +1,74 @@
+// Carries out a rolling change over a fleet's keepers: asks them, gives their windows to the judge and what they say to
+// the conductor, and gives the orders that it decides on. Its state is in a folder; one conductor a folder.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "disk/disk.h"
+#include "fleet/file.h"
+#include "fleet/talk.h"
+#include "rollout/conductor.h"
+#include "rollout/evidence.h"
+
+namespace marbledyke::fleet {
+
+class Rollout {
+ public:
+  // Throws config::BadInput where another conductor has the folder, or it holds another rollout that is not over.
+  Rollout(net::Loop& loop, disk::Disk& disk, const Fleet& fleet, const rollout::Plan& plan, const std::string& folder);
+  ~Rollout();
+  Rollout(const Rollout&) = delete;
+  Rollout& operator=(const Rollout&) = delete;
+
+  bool over() const { return conductor_ != nullptr && conductor_->over() && orders_out_ == 0; }
+  const rollout::Conductor* conductor() const { return conductor_.get(); }
+
+ private:
+  struct Seen {
+    std::int64_t windows_from = 0;
+    std::uint64_t epoch = 0, number = 0;  // of the last order it took
+    std::uint64_t ends_at_change = 0;
+    bool asking = false;
+  };
+  void beat();
+  void ask(const KeeperAt& keeper);
+  void status_came(const KeeperAt& keeper, const nlohmann::json& status);
+  void windows_came(const std::string& keeper, const nlohmann::json& windows);
+  void begin_when_known();
+  void judge();
+  void carry_out();
+  void order(const std::string& keeper, nlohmann::json what);
+  void heed();
+  void write_state();
+  void remember(const std::string& what);
+
+  net::Loop& loop_;
+  disk::Disk& disk_;
+  const Fleet& fleet_;
+  const rollout::Plan& plan_;
+  std::string folder_;
+  net::Descriptor lock_;
+  std::vector<rollout::Member> members_;
+  rollout::Kept kept_;
+  bool found_ = false;  // a rollout that a former conductor had under way
+  std::unique_ptr<rollout::Conductor> conductor_;
+  rollout::Evidence evidence_;
+  Talk talk_;
+  std::map<std::string, Seen> seen_;
+  Span begun_{};
+  std::int64_t watched_from_ = 0, watched_until_ = 0, swapping_since_ = 0;
+  std::string finding_;
+  int orders_out_ = 0;
+  bool state_wrong_ = false;
+  net::Loop::Timer beat_{};
+};
+
+// The commands: what they print, and their exit status. `word` of tell: pause, resume or back.
+int rollout_plan(const Fleet& fleet, const rollout::Plan& plan);
+int rollout_start(const Fleet& fleet, const rollout::Plan& plan, const std::string& folder);
+int rollout_status(const std::string& folder, bool as_json);
+int rollout_tell(const std::string& folder, const std::string& word);
+int rollout_history(const std::string& folder);
+
+}  // namespace marbledyke::fleet
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -13,6 +13,7 @@
 #include "emulator/world.h"
 #include "lab/experiments.h"
 #include "lab/keepers.h"
+#include "lab/rollouts.h"
 #include "lab/sockets.h"
 #include "lab/stage.h"
 #include "scenario/draw.h"
@@ -152,6 +153,13 @@
   keepers->add_option("--swaps", measures.swaps)->check(CLI::Range(1, 10'000));
   keepers->add_option("--rate", measures.rate, "Multigets a second during swaps")->check(CLI::Range(1, 100'000));
   keepers->add_option("--pairs", measures.pairs)->check(CLI::Range(1, 100));
+  int rollout_runs = 500, large_runs = 100;
+  CLI::App* const rollouts =
+      app.add_subcommand("rollouts", "Emulate rolling changes: false stops, and how soon a bad version is found");
+  rollouts->add_option("--out", directory, "A folder that is not there yet")->required();
+  rollouts->add_option("--runs", rollout_runs, "of each at 300 gatherers")->check(CLI::Range(1, 100'000));
+  rollouts->add_option("--large-runs", large_runs, "of each at 1,000")->check(CLI::Range(1, 100'000));
+  rollouts->add_option("--jobs", jobs)->check(CLI::Range(1, 256));
   CLI::App* const list = app.add_subcommand("list", "Name the experiments");
   CLI::App* const run = app.add_subcommand("run", "Run an experiment and keep its results");
   run->add_option("NAME", name)->required()->check(CLI::IsMember(lab::experiment_names()));
@@ -241,6 +249,7 @@
     }
     return cut ? 3 : 0;
   }
+  if (*rollouts) return lab::measure_rollouts(rollout_runs, large_runs, jobs, directory);
   if (*keepers) {
     heed_signals();
     return lab::measure_keepers(measures, directory, stopped);
--- a/src/rig/flawed.cpp
+++ b/src/rig/flawed.cpp
@@ -5,12 +5,18 @@
 //   never-ready    starts and says nothing, ever
 //   ends:S         ends with status 3 so many seconds after its start
 //   hangs:S        serves, and stands still from so many seconds after its start
+//   stalls:S       every second it stands still for so many seconds
+//   leaks:MB       takes so many megabytes a second more
+//   burns:S        burns so many seconds of CPU every second
 //   deaf           says that it serves, answers its health call, tells empty windows, and answers nothing else
 //   mute           the same, and tells that it takes multigets and ends none
 #include <signal.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -19,6 +25,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "command/serve.h"
 #include "model/measure.h"
@@ -90,13 +97,48 @@
   if (name == "never-ready") {
     for (;;) pause();
   }
+  // "room" and other flaws of settings are in the settings themselves.
   if (name == "deaf" || name == "mute") pretend(configuration, name == "mute");
   // Threads of its own leave the signals to the one that serves.
   sigset_t all, before;
   sigfillset(&all);
   pthread_sigmask(SIG_SETMASK, &all, &before);
   if (name == "ends") later([] { _exit(3); });
+  if (name == "leaks") {
+    std::thread([figure] {
+      std::vector<std::vector<char>> held;
+      for (;;) {
+        held.emplace_back(static_cast<std::size_t>(figure * 1e6 / 10), 'x');
+        std::this_thread::sleep_for(100ms);
+      }
+    }).detach();
+  }
+  if (name == "burns") {
+    std::thread([figure] {
+      for (;;) {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::duration<double>(figure / 10);
+        while (std::chrono::steady_clock::now() < until) {
+        }
+        std::this_thread::sleep_for(std::chrono::duration<double>(std::max(0.1 - figure / 10, 0.001)));
+      }
+    }).detach();
+  }
   if (name == "hangs") later([] { kill(getpid(), SIGSTOP); });
   pthread_sigmask(SIG_SETMASK, &before, nullptr);
+  if (name == "stalls") {
+    // In the thread that serves: whatever it does, it does nothing for that long.
+    static long stall_us;
+    stall_us = static_cast<long>(figure * 1e6);
+    struct sigaction action {};
+    action.sa_handler = [](int) {
+      timespec left{stall_us / 1'000'000, stall_us % 1'000'000 * 1000};
+      while (nanosleep(&left, &left) != 0 && errno == EINTR) {
+      }
+    };
+    action.sa_flags = SA_RESTART;
+    sigaction(SIGALRM, &action, nullptr);
+    const itimerval each{{1, 0}, {1, 0}};
+    setitimer(ITIMER_REAL, &each, nullptr);
+  }
   return marbledyke::command::serve({});
 }
--- a/src/rig/site.cpp
+++ b/src/rig/site.cpp
@@ -93,12 +93,11 @@
   }
 }
 
+// Without running the loop: timers of what a test held beside this may be in it still.
 Site::~Site() {
   for (const auto& machine : machines_) {
-    machine->keeper.signal(SIGCONT);
-    machine->keeper.signal(SIGKILL);
-    run_until(loop_, 1s, [&] { return machine->keeper.pid() < 0 || machine->keeper.ended().has_value(); });
-    end_orphans(*machine);
+    machine->keeper.end();
+    kill_gatherers(*machine);
   }
   std::error_code ignored;
   fs::remove_all(folder_, ignored);
@@ -115,6 +114,7 @@
   json settings = standins::plain_settings(kShards);
   settings["tick"] = of.tick;
   settings["replicas-of-me"] = options_.machines;
+  if (of.room > 0) settings["limits"]["max-open"] = of.room;
   if (of.broken_settings) settings["limits"]["attempts-cap"] = 0;
   json config = standins::configuration(machine.name, machine.gatherer, machine.discovery, discovery_->body(-1),
                                         std::move(settings));
@@ -201,11 +201,15 @@
   return out;
 }
 
-void Site::end_orphans(Machine& machine) {
+void Site::kill_gatherers(Machine& machine) const {
   for (const pid_t pid : gatherers(machine)) {
     // Still one of ours: its group is its own pid, by the keeper.
     if (pid > 1 && getpgid(pid) == pid) ::kill(pid, SIGKILL);
   }
+}
+
+void Site::end_orphans(Machine& machine) {
+  kill_gatherers(machine);
   run_until(loop_, 1s, [&] { return gatherers(machine).empty(); });
 }
 
--- a/src/rig/site.h
+++ b/src/rig/site.h
@@ -59,6 +59,7 @@
     std::string mark, flaw;
     int tick = 5000;
     bool broken_settings = false;
+    int room = 0;  // multigets and parts in hand; 0: as usual
   };
   std::string recipe(Machine& machine, const std::string& name, const Recipe& of);
 
@@ -94,6 +95,7 @@
 
  private:
   net::Address address(std::uint32_t number) const;
+  void kill_gatherers(Machine& machine) const;
 
   net::Loop& loop_;
   SiteOptions options_;
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -492,6 +492,7 @@
       act(Act::What::begin_judging);
       break;
     case Do::advance:
+      kept_.why.clear();  // of a wait that is over
       confirm_stage();
       if (kept_.stage + 1 >= static_cast<int>(plan_.stages.size())) {
         kept_.state = State::done;
--- /dev/null
+++ b/src/rollout/file.cpp
@@ -0,0 +1,64 @@
+#include "rollout/file.h"
+
+#include <set>
+
+#include "xml/document.h"
+
+namespace marbledyke::rollout {
+
+using namespace std::chrono_literals;
+
+extern const char* const kSchema;
+
+Read read_plan(const std::string& text) {
+  Read out;
+  const auto document = xml::Document::read(text, kSchema, "urn:marbledyke:rollout:1", out.faults);
+  if (!document) return out;
+  xml::Reader reader(out.faults);
+  Plan plan;
+  const xml::Element root = document->root();
+  plan.name = root.attribute("name").value_or("");
+  plan.version = root.attribute("version").value_or("");
+  plan.from = root.attribute("from").value_or("");
+  if (!plan.from.empty() && plan.from.front() != '/') reader.fault(root, "from: not an absolute path: " + plan.from);
+  reader.whole(root, "at-a-time", 1, 4096, plan.at_a_time);
+  reader.span(root, "before", 5s, 24h, plan.before);
+  reader.span(root, "burn-in", 0s, 1h, plan.burn_in);
+  reader.span(root, "longest-wait", 1s, 48h, plan.longest_wait);
+  reader.span(root, "swap-limit", 1s, 1h, plan.swap_limit);
+  reader.number(root, "false-stops", 0.0001, 0.5, plan.limits.false_stops);
+  reader.whole(root, "block", 1, 600, plan.limits.block_s);
+  reader.whole(root, "least-asked", 1, 100'000, plan.limits.least_asked);
+  std::set<std::string> names;
+  for (const xml::Element& at : root.children()) {
+    if (at.name() == "stage") {
+      StagePlan stage;
+      stage.name = at.attribute("name").value_or("");
+      if (!names.insert(stage.name).second) reader.fault(at, "name: " + stage.name + " is there twice");
+      reader.whole(at, "count", 1, 4096, stage.count);
+      reader.number(at, "share", 0, 1, stage.share);
+      if (at.attribute("count") && at.attribute("share")) reader.fault(at, "both count and share");
+      stage.zone = at.attribute("zone").value_or("");
+      stage.group = at.attribute("group").value_or("");
+      reader.span(at, "soak", 5s, 48h, stage.soak);
+      plan.stages.push_back(std::move(stage));
+    } else if (at.name() == "limit") {
+      static constexpr const char* kNames[] = {"good", "failed", "pushed-back", "slow", "further", "cpu"};
+      const std::string measure = at.attribute("measure").value_or("");
+      for (int i = 0; i < kMeasures; ++i) {
+        if (measure == kNames[i]) reader.number(at, "too-much", 0.0001, 1, plan.limits.too_much[i]);
+      }
+    }
+  }
+  reader.sort();
+  if (out.faults.empty()) out.plan = std::move(plan);
+  return out;
+}
+
+Read read_plan_file(const std::string& path) {
+  Read out;
+  const auto text = xml::read_file(path, out.faults);
+  return text ? read_plan(*text) : out;
+}
+
+}  // namespace marbledyke::rollout
--- /dev/null
+++ b/src/rollout/file.h
@@ -0,0 +1,20 @@
+// A plan as operators write it, in XML by deploy/rollout.xsd. Every fault is named with its line.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/fault.h"
+#include "rollout/plan.h"
+
+namespace marbledyke::rollout {
+
+struct Read {
+  std::optional<Plan> plan;  // none where there is a fault
+  std::vector<config::Fault> faults;
+};
+Read read_plan(const std::string& text);
+Read read_plan_file(const std::string& path);
+
+}  // namespace marbledyke::rollout
--- a/src/rollout/judge.cpp
+++ b/src/rollout/judge.cpp
@@ -309,6 +309,11 @@
     }
     return out;
   }
+  if (!had_old_ && lately_.size() >= kLately) {
+    // Nor is there a past: a successor that took over in the last stage. What needs no comparison has not spoken.
+    if (soak_over) out.verdict = Verdict::passed;
+    return out;
+  }
   const double stop_at = shared_by_ / limits_.false_stops;
   const Test* worst = nullptr;
   const Key* worst_key = nullptr;
