--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t kMostHeld = 4 * 1024 * 1024;  // of a direction of a connection; more is not read
 constexpr std::size_t kRing = 256 * 1024;
 constexpr Span kTrickleStep = 10ms;
+constexpr Span kConnect = 100ms;  // to the other side, or both are reset
 
 // So many bytes at a time, and so long in between.
 std::pair<std::size_t, Span> steps_of(std::int64_t trickle) {
@@ -44,6 +45,7 @@
 struct Relay::Pair {
   std::uint64_t number = 0;
   Side there, back;
+  std::optional<net::Loop::Timer> connecting;
   Side& side(bool is_there) { return is_there ? there : back; }
 };
 
@@ -54,6 +56,7 @@
 
 Relay::~Relay() {
   for (const auto& [number, pair] : pairs_) {
+    if (pair->connecting) loop_.cancel(*pair->connecting);
     for (Side* side : {&pair->there, &pair->back}) {
       if (side->due) loop_.cancel(*side->due);
     }
@@ -95,6 +98,12 @@
   };
   pair->there.stream = stream(std::move(fd), true, true);
   pair->back.stream = stream(std::move(out), false, false);
+  // Whoever connects here is connected at once, the other side perhaps seconds later: what was given meanwhile would come
+  // in long after its sender had given it up.
+  pair->connecting = loop_.at(loop_.now() + kConnect, [this, pair] {
+    pair->connecting.reset();
+    if (!pair->back.stream->connected()) drop(*pair, true);
+  });
 }
 
 void Relay::arrived(Pair& pair, bool there) {
@@ -170,6 +179,8 @@
 void Relay::drop(Pair& pair, bool with_reset) {
   const auto at = pairs_.find(pair.number);
   if (at == pairs_.end()) return;
+  if (pair.connecting) loop_.cancel(*pair.connecting);
+  pair.connecting.reset();
   for (Side* side : {&pair.there, &pair.back}) {
     if (side->due) loop_.cancel(*side->due);
     side->due.reset();
