One way of starting a process of this build, for the lab and the rigs

Cause: the rigs' processes were started by a copy of what starts the lab's gatherer.

Change: standins::spawn() and program(), used by both. No behaviour changes but that standard output goes to the log as well.

--- a/src/rig/process.cpp
+++ b/src/rig/process.cpp
@@ -1,18 +1,12 @@
 #include "rig/process.h"
 
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <array>
-#include <cerrno>
-#include <climits>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
-#include <system_error>
 
 #include "net/http.h"
 #include "net/socket.h"
@@ -21,14 +15,6 @@
 
 using namespace std::chrono_literals;
 
-std::string program(const std::string& name) {
-  std::array<char, PATH_MAX> own{};
-  const ssize_t size = readlink("/proc/self/exe", own.data(), own.size());
-  const std::string path(own.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
-  const std::string beside = path.substr(0, path.rfind('/') + 1);
-  return access((beside + name).c_str(), X_OK) == 0 ? beside + name : beside + "../" + name;
-}
-
 Process::~Process() { end(); }
 
 void Process::end() {
@@ -41,26 +27,8 @@
 
 void Process::start(const std::vector<std::string>& words, const std::map<std::string, std::string>& environment,
                     const std::string& log) {
-  std::vector<std::string> own = words;
-  std::vector<char*> plain;
-  for (std::string& word : own) plain.push_back(word.data());
-  plain.push_back(nullptr);
   status_.reset();
-  const pid_t parent = getpid();
-  pid_ = fork();
-  if (pid_ < 0) throw std::system_error(errno, std::generic_category(), "fork");
-  if (pid_ > 0) return;
-  prctl(PR_SET_PDEATHSIG, SIGKILL);
-  if (getppid() != parent) _exit(1);
-  sigset_t none;
-  sigemptyset(&none);
-  sigprocmask(SIG_SETMASK, &none, nullptr);
-  const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-  dup2(out, 1);
-  dup2(out, 2);
-  for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
-  execv(plain[0], plain.data());
-  _exit(127);
+  pid_ = standins::spawn(words, environment, log);
 }
 
 void Process::signal(int which) {
--- a/src/rig/process.h
+++ b/src/rig/process.h
@@ -14,11 +14,11 @@
 #include "model/plain.h"
 #include "net/address.h"
 #include "net/loop.h"
+#include "standins/process.h"
 
 namespace marbledyke::rig {
 
-// The path of a program of this build: beside this one, or one folder up.
-std::string program(const std::string& name);
+using standins::program;
 
 class Process {
  public:
--- a/src/standins/process.cpp
+++ b/src/standins/process.cpp
@@ -112,36 +112,43 @@
   return folder_ + "/" + name;
 }
 
-void Gatherer::start(const json& configuration, const std::vector<std::string>& more,
-                     const std::string& name) {
-  const std::string config = put("config.json", configuration.dump(1) + "\n");
+std::string program(const std::string& name) {
   std::array<char, PATH_MAX> own{};
   const ssize_t size = readlink("/proc/self/exe", own.data(), own.size());
-  std::string program(own.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
-  // Beside this program, or, for tests, one folder up.
-  const std::string beside = program.substr(0, program.rfind('/') + 1);
-  program = beside + name;
-  if (access(program.c_str(), X_OK) != 0) program = beside + "../" + name;
-  std::vector<char*> words{program.data()};
-  for (const std::string& word : more) words.push_back(const_cast<char*>(word.c_str()));
-  words.push_back(nullptr);
+  const std::string path(own.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
+  const std::string beside = path.substr(0, path.rfind('/') + 1);
+  return access((beside + name).c_str(), X_OK) == 0 ? beside + name : beside + "../" + name;
+}
+
+pid_t spawn(std::vector<std::string> words, const std::map<std::string, std::string>& environment,
+            const std::string& log) {
+  std::vector<char*> plain;
+  for (std::string& word : words) plain.push_back(word.data());
+  plain.push_back(nullptr);
   const pid_t parent = getpid();
-  pid_ = fork();
-  if (pid_ < 0) throw std::system_error(errno, std::generic_category(), "fork");
-  if (pid_ > 0) return;
-  // A lab that is killed takes its gatherers along.
+  const pid_t child = fork();
+  if (child < 0) throw std::system_error(errno, std::generic_category(), "fork");
+  if (child > 0) return child;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (getppid() != parent) _exit(1);
   sigset_t none;
   sigemptyset(&none);
   sigprocmask(SIG_SETMASK, &none, nullptr);
-  const int log = open((folder_ + "/gatherer.log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-  dup2(log, 2);
-  setenv("PROXY_CONFIG", config.c_str(), 1);
-  execv(program.c_str(), words.data());
+  const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  dup2(out, 1);
+  dup2(out, 2);
+  for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
+  execv(plain[0], plain.data());
   _exit(127);
 }
 
+void Gatherer::start(const json& configuration, const std::vector<std::string>& more, const std::string& name) {
+  const std::string config = put("config.json", configuration.dump(1) + "\n");
+  std::vector<std::string> words{program(name)};
+  words.insert(words.end(), more.begin(), more.end());
+  pid_ = spawn(std::move(words), {{"PROXY_CONFIG", config}}, folder_ + "/gatherer.log");
+}
+
 bool Gatherer::ended() {
   if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) pid_ = -1;
   return pid_ < 0;
--- a/src/standins/process.h
+++ b/src/standins/process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -21,7 +22,13 @@
 // Flat terms, with dots and list places as numbers, as the nested object that a configuration holds.
 nlohmann::json nested(const Terms& terms);
 
-// Where signals are taken by signalfd, the child unblocks them again. Ends with this process.
+// The path of a program of this build: beside this one, or, for tests, one folder up.
+std::string program(const std::string& name);
+// Starts one with these words and, beside its own, this environment; what it says goes to the file `log`. Where
+// signals are taken by signalfd, the child unblocks them again. It ends with this process. Throws std::system_error.
+pid_t spawn(std::vector<std::string> words, const std::map<std::string, std::string>& environment,
+            const std::string& log);
+
 class Gatherer {
  public:
   Gatherer() = default;
