What has come in is read before timers speak: paused gatherers sent returned parts again

The loop now polls once more, without waiting, whenever a timer is due or its table of events was full. The new trace stood_still stops a process over its timer; without the mend the timer speaks first.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,13 +1,14 @@
 #include "net/loop.h"
 
-#include <sys/epoll.h>
-
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <system_error>
 
 namespace marbledyke::net {
+namespace {
+constexpr int kMostRounds = 64;  // of what is ready; then timers have their turn all the same
+}  // namespace
 
 Loop::Loop(const TimeSource& clock)
     : clock_(clock), epoll_(epoll_create1(EPOLL_CLOEXEC)), start_(clock.steady()) {
@@ -48,6 +49,23 @@
   return timer;
 }
 
+// What is ready now, or within that many milliseconds; nothing where the wait is interrupted.
+std::span<const epoll_event> Loop::wait(std::span<epoll_event> room, int patience) const {
+  const int count = epoll_wait(epoll_.get(), room.data(), static_cast<int>(room.size()), patience);
+  if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  return room.first(static_cast<std::size_t>(std::max(count, 0)));
+}
+
+void Loop::tell(std::span<const epoll_event> events) {
+  for (const epoll_event& event : events) {
+    const Place& place = places_[event.data.u64 & 0xffffffff];
+    if (place.watcher == nullptr || place.generation != event.data.u64 >> 32) continue;
+    const bool broken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
+    place.watcher->ready(broken || (event.events & (EPOLLIN | EPOLLRDHUP)) != 0,
+                         broken || (event.events & EPOLLOUT) != 0);
+  }
+}
+
 void Loop::gather() {
   int patience = -1;
   read_clock();
@@ -55,17 +73,18 @@
     const Span left = clock_.machine_time(std::max(timers_.begin()->first.first - now_, Span::zero()));
     patience = static_cast<int>(std::min<std::int64_t>((left.count() + 999) / 1000, 60'000));
   }
-  std::array<epoll_event, 256> events;
-  const int count = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), patience);
-  if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  std::array<epoll_event, 256> room;  // not the loop's own: a turn may be taken within a turn
+  auto events = wait(room, patience);
   read_clock();
-  for (int i = 0; i < count; ++i) {
-    const epoll_event& event = events[static_cast<std::size_t>(i)];
-    const Place& place = places_[event.data.u64 & 0xffffffff];
-    if (place.watcher == nullptr || place.generation != event.data.u64 >> 32) continue;
-    const bool broken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
-    place.watcher->ready(broken || (event.events & (EPOLLIN | EPOLLRDHUP)) != 0,
-                         broken || (event.events & EPOLLOUT) != 0);
+  tell(events);
+  // A process that was stopped comes back out of its wait with nothing, or with what was there before, while its clock
+  // has gone on. So what has come in by now is read before any timer speaks: an answer that waits to be read is not
+  // one that did not come.
+  bool more = events.size() == room.size() || (!timers_.empty() && timers_.begin()->first.first <= now_);
+  for (int round = 0; more && round < kMostRounds; ++round) {
+    events = wait(room, 0);
+    tell(events);
+    more = events.size() == room.size();
   }
   // A timer set meanwhile waits for the next round, so that who always has more to do does not keep the rest.
   const std::uint64_t later = next_timer_;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -2,9 +2,12 @@
 // its own after that sets it from outside.
 #pragma once
 
+#include <sys/epoll.h>
+
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -48,6 +51,9 @@
     std::uint32_t generation = 0;
   };
 
+  std::span<const epoll_event> wait(std::span<epoll_event> room, int patience) const;
+  void tell(std::span<const epoll_event> events);
+
   const TimeSource& clock_;
   Descriptor epoll_;
   Span start_;
--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -34,7 +34,7 @@
   struct Out {
     Errand errand;
     Stage stage = Stage::queued;
-    Span written_at{};
+    Span given_at{};  // its frame was begun, and then: it was written
     bool over = false;  // ended while its frame was being written, so that a frame 2 must follow
     net::Loop::Timer expiry;
   };
@@ -200,7 +200,7 @@
   for (const auto& [number, link] : links_) {
     if (link->server != server) continue;
     for (const auto& [id, out] : link->outs) {
-      if (out.stage == Link::Stage::written) doubt(*link, out.written_at);
+      if (out.stage != Link::Stage::queued) doubt(*link, out.given_at);
     }
     if (!link->trusted || !link->current) continue;
     ++held;
@@ -476,6 +476,7 @@
       for (const std::string& id : link.writing.ids) {
         Link::Out& out = link.outs.at(id);
         out.stage = Link::Stage::writing;
+        out.given_at = loop_.now();
         const auto left = std::max<std::int64_t>((out.errand.not_past - loop_.now()) / 1ms, 1);
         put_part(bytes, id, out.errand.shard, "d=" + std::to_string(left) + out.errand.more,
                  *out.errand.text);
@@ -504,7 +505,7 @@
     for (const std::string& id : frame.ids) {
       Link::Out& out = link.outs.at(id);
       out.stage = Link::Stage::written;
-      out.written_at = loop_.now();
+      out.given_at = loop_.now();
       if (!out.over) continue;
       link.pending.push_front({'2', {id}});
       link.given_up[id] = out.errand.not_past + carriage_.longest_timeout;
@@ -634,9 +635,10 @@
     loop_.cancel(out.expiry);
     out_.erase(at);
     out.over = true;
+    doubt(link, out.given_at);
     end(out.errand, fate);
   } else {
-    doubt(link, out.written_at);
+    doubt(link, out.given_at);
     link.given_up[id] = out.errand.not_past + carriage_.longest_timeout;
     settle(link, id, fate);
     link.pending.push_back({'2', {id}});
@@ -666,11 +668,14 @@
 }
 
 // A link with nothing to do is closed before the server may close it: what is written after that is reset,
-// and may have run as far as anyone can tell. One that is not trusted is closed at once.
+// and may have run as far as anyone can tell. One that is not trusted is closed at once. So is one that is wanted no
+// more while its server leaves a frame half taken whose parts have all had their fate: nobody else would ever end it.
 void Servers::rest(Link& link) {
-  if (link.ended || !link.outs.empty() || !link.pending.empty() || link.writing.letter != 0 || link.probing ||
-      link.race)
-    return;
+  if (link.ended || link.probing || link.race) return;
+  if (link.writing.letter != 0 && !wanted(link) &&
+      std::all_of(link.outs.begin(), link.outs.end(), [](const auto& one) { return one.second.over; }))
+    return drop(link, "its server does not take a frame");
+  if (!link.outs.empty() || !link.pending.empty() || link.writing.letter != 0) return;
   if (!wanted(link)) return drop(link, link.trusted ? "its server takes nothing new" : "it kept silent");
   if (link.idle_expiry) return;
   const std::uint64_t number = link.number;
--- a/tests/parser_traces.cpp
+++ b/tests/parser_traces.cpp
@@ -1,5 +1,10 @@
 // Traces of the parsers and of the configuration's complaints, one case a run; the kept ones are in traces/.
 // Each sample is read whole, byte by byte and split at every place: one line tells what all of these gave.
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
@@ -12,10 +17,12 @@
 #include "config/commission.h"
 #include "list/news.h"
 #include "net/http.h"
+#include "net/loop.h"
 #include "net/ring.h"
 #include "servers/frames.h"
 
 using namespace marbledyke;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -466,6 +473,53 @@
          refusable([](const std::string& text) { config::read_commission(text); }));
 }
 
+// A process that is stopped while it waits, and goes on after a timer is due, reads what has come in meanwhile before
+// that timer speaks. Else a gatherer gives up, after every pause, on answers that wait to be read, and sends their
+// parts again (drawn fleets 56 and 135 with keepers).
+void stood_still() {
+  int told[2], back[2];
+  if (pipe(told) != 0 || pipe(back) != 0) return;
+  const pid_t child = fork();
+  if (child == 0) {
+    struct Reader final : net::Watcher {
+      int fd = -1;
+      std::string order;
+      void ready(bool readable, bool) override {
+        char byte = 0;
+        while (readable && read(fd, &byte, 1) == 1) order += byte;
+      }
+    } reader;
+    reader.fd = told[0];
+    fcntl(told[0], F_SETFL, O_NONBLOCK);
+    net::Loop loop;
+    loop.read_clock();
+    const std::uint32_t place = loop.watch(told[0], reader);
+    bool up = false;
+    loop.at(loop.now() + 200ms, [&] {
+      up = true;
+      reader.order += " then the timer";
+    });
+    if (write(back[1], "r", 1) != 1) _exit(1);
+    while (!up) loop.gather();
+    loop.forget(told[0], place);
+    const bool out = write(back[1], reader.order.data(), reader.order.size()) > 0;
+    _exit(out ? 0 : 1);
+  }
+  char said[64] = {};
+  // It has begun, and is given the time to be within its wait.
+  if (read(back[0], said, 1) != 1) return;
+  usleep(50'000);
+  kill(child, SIGSTOP);
+  waitpid(child, nullptr, WUNTRACED);
+  const bool put = write(told[1], "read,", 5) == 5;
+  usleep(300'000);
+  kill(child, SIGCONT);
+  waitpid(child, nullptr, 0);
+  const ssize_t got = read(back[0], said, sizeof said - 1);
+  std::printf("%.*s\n", put && got > 0 ? static_cast<int>(got) : 0, said);
+  for (const int fd : {told[0], told[1], back[0], back[1]}) close(fd);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -478,6 +532,7 @@
                                                       {"news", news},
                                                       {"commissions", commissions},
                                                       {"rings", rings},
+                                                      {"stood_still", stood_still},
                                                       {"damage", damage}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
