--- a/src/emulator/keepers.cpp
+++ b/src/emulator/keepers.cpp
@@ -27,7 +27,7 @@
   if (minder_) return;
   paused_ = false;
   Kept kept = disk_;
-  minder_ = std::make_unique<Minder>(policy_, kept, now_, kWallAtStart + now_, 0.0);
+  minder_ = std::make_unique<Minder>(policy_, kept, own_, kWallAtStart + now_, 0.0);
   for (int slot = 0; slot < keeper::kSlots; ++slot) {
     const auto& process = processes_[static_cast<std::size_t>(slot)];
     if (process) minder_->adopted(slot, process->settings, facts(process->version));
@@ -64,8 +64,15 @@
   }
 }
 
+void EmulatedKeeper::freeze(bool on) {
+  for (auto& process : processes_) {
+    if (process) process->frozen = on;
+  }
+}
+
 void EmulatedKeeper::end(int slot, const std::string& how) {
   processes_[static_cast<std::size_t>(slot)].reset();
+  if (processes_told.ended) processes_told.ended(slot);
   if (!minder_) return;
   if (paused_) {
     ended_while_paused_.emplace_back(slot, how);
@@ -79,7 +86,7 @@
 
 std::string EmulatedKeeper::serving_version() const {
   for (const auto& process : processes_) {
-    if (!process || !process->serving || process->stops_at) continue;
+    if (!process || !process->serving || process->stops_at || process->frozen) continue;
     const Behaviour& b = of(process->settings).behaviour;
     const Span age = now_ - process->begun;
     if ((b.hangs_after && age >= *b.hangs_after) || (b.mute_after && age >= *b.mute_after)) continue;
@@ -129,7 +136,7 @@
           break;
         }
         say("begin " + act->version + " in " + std::to_string(act->slot));
-        process = Process{act->version, linked_, now_, false, false, std::nullopt, false, 0};
+        process = Process{act->version, linked_, now_, false, false, false, std::nullopt, false, 0};
         minder_->began(act->slot, facts(act->version));
         if (linked_ != act->version) broken_ = "begun under another version's settings";
         break;
@@ -142,8 +149,10 @@
         break;
       case Act::What::term:
         say("term " + std::to_string(act->slot));
-        if (process && of(process->version).behaviour.heeds_term && !process->stops_at)
+        if (process && of(process->version).behaviour.heeds_term && !process->stops_at) {
           process->stops_at = now_ + of(process->version).behaviour.stop_takes;
+          if (processes_told.leaves) processes_told.leaves(act->slot);
+        }
         break;
       case Act::What::kill:
         say("kill " + std::to_string(act->slot));
@@ -158,10 +167,11 @@
 
 void EmulatedKeeper::step() {
   now_ += kKeeperStep;
+  own_ += Span(static_cast<std::int64_t>(static_cast<double>(kKeeperStep.count()) * rate_));
   if (serves()) served_ += kKeeperStep;
   const bool hears = minder_ && !paused_;
   if (hears) {
-    minder_->tick(now_, kWallAtStart + now_);
+    minder_->tick(own_, kWallAtStart + now_);
     for (const auto& [slot, how] : std::exchange(ended_while_paused_, {})) {
       if (minder_) minder_->ended(slot, how);
       carry_out();
@@ -175,12 +185,13 @@
     if (!process) continue;
     const Behaviour b = of(process->settings).behaviour;
     const Span age = now_ - process->begun;
-    const bool hangs = b.hangs_after && age >= *b.hangs_after;
+    const bool hangs = process->frozen || (b.hangs_after && age >= *b.hangs_after);
     if (b.ends_after && age >= *b.ends_after) {
       end(slot, "status 3");
       continue;
     }
-    if (process->stops_at && now_ >= *process->stops_at && !hangs) {
+    if (process->stops_at && now_ >= *process->stops_at && !hangs &&
+        (!processes_told.may_end || processes_told.may_end(slot))) {
       end(slot, "status 0");
       continue;
     }
@@ -190,6 +201,7 @@
         continue;
       }
       process->serving = true;
+      if (processes_told.serves) processes_told.serves(slot);
     }
     if (!minder_ || paused_ || hangs) continue;
     if (process->serving && !process->said) {
@@ -221,7 +233,7 @@
     for (const auto& process : processes_) {
       if (!process || !process->serving) continue;
       const Behaviour& b = of(process->settings).behaviour;
-      healthy = healthy || !b.hangs_after || now_ - process->begun < *b.hangs_after;
+      healthy = healthy || (!process->frozen && (!b.hangs_after || now_ - process->begun < *b.hangs_after));
     }
     minder_->health(healthy);
     if (minder_->impossible() > 0) broken_ = "an event came that cannot come";
--- a/src/emulator/keepers.h
+++ b/src/emulator/keepers.h
@@ -38,6 +38,14 @@
 
 class EmulatedKeeper {
  public:
+  // What its processes do, told as it comes about, for whoever plays what they serve.
+  struct Told {
+    std::function<void(int slot)> serves;   // from now on
+    std::function<void(int slot)> leaves;   // told to stop; ends once it may
+    std::function<bool(int slot)> may_end;  // what it had in hand is over
+    std::function<void(int slot)> ended;
+  };
+
   EmulatedKeeper(const keeper::Policy& policy, std::map<std::string, EmulatedVersion> versions, std::uint32_t seed);
 
   // What an order is answered; none where the keeper is dead or paused.
@@ -48,6 +56,8 @@
   void start_keeper();  // over what it finds; nothing where it lives
   void pause_keeper(bool on) { paused_ = on; }
   void kill_process();  // the one that serves
+  void freeze(bool on);  // those that are there stand still, or go on
+  void set_rate(double rate) { rate_ = rate; }  // of the keeper's own clock
   void disk_full(bool on) { disk_full_ = on; }
   // At the n-th act from now the keeper is killed, before it is carried out.
   void kill_at_act(int n) { kill_at_ = n; }
@@ -59,11 +69,16 @@
   const std::string& linked() const { return linked_; }
   bool serves() const;  // somebody takes multigets and ends them
   int processes() const;
+  bool serving(int slot) const {
+    const auto& process = processes_[static_cast<std::size_t>(slot)];
+    return process && process->serving;
+  }
   // Of the process that serves; empty where none does.
   std::string serving_version() const;
   Span served() const { return served_; }
 
   std::function<void(const std::string& what)> told;  // of each act
+  Told processes_told;
 
   // What must never be; the first of each kind, empty where all was well.
   const std::string& broken() const { return broken_; }
@@ -73,7 +88,7 @@
     std::string version;   // its program's
     std::string settings;  // the version whose settings it has
     Span begun{};
-    bool serving = false, said = false;
+    bool serving = false, said = false, frozen = false;
     std::optional<Span> stops_at;
     bool read_pending = false;
     std::uint64_t alive_by = 0;
@@ -89,7 +104,8 @@
   keeper::Policy policy_;
   std::map<std::string, EmulatedVersion> versions_;
   std::mt19937 chance_;
-  Span now_{}, next_window_{};
+  double rate_ = 1;
+  Span now_{}, own_{}, next_window_{};  // own: the keeper's clock
   std::array<std::optional<Process>, keeper::kSlots> processes_;
   std::unique_ptr<keeper::Minder> minder_;
   keeper::Kept disk_;
--- a/src/lab/experiments.cpp
+++ b/src/lab/experiments.cpp
@@ -181,6 +181,43 @@
       {"imbalance", "Largest over mean number of parts a server", "gatherers", "imbalance", "policy", {}});
 }
 
+// A share of all gatherers dies within 100 ms under the shipped keepers' decisions, or all are swapped in turn.
+void returns(Experiment& e, std::uint32_t seed) {
+  e.question = "What does a fleet lose when many of its gatherers die at once under their keepers, and does that grow with it?";
+  e.factors = {"gatherers", "what", "seed"};
+  for (const int count : {8, 48, 300, 1000}) {
+    for (const char* const what : {"nothing", "half", "most", "all", "most-keepers-late", "swaps"}) {
+      for (std::uint32_t i = 0; i < kSeeds; ++i) {
+        const std::string kind = what;
+        Cell cell;
+        cell.policy = "module";
+        cell.seed = seed + i;
+        cell.scenario = ordinary(std::max(24, count / 4), 0.5);
+        cell.scenario.length = 18s;
+        cell.scenario.gatherers.count = count;
+        cell.scenario.gatherers.kept = true;
+        const double share = kind == "half" ? 0.5 : kind == "all" ? 1 : 0.7;
+        Fault killed = fault_of(FaultKind::kill_gatherer, 6s, 7s, share, 1);
+        killed.first = 0;
+        killed.step = Span(100'000 / count);
+        Fault off = fault_of(FaultKind::kill_keeper, 5s, 8s, share, 1);
+        off.first = 0;
+        if (kind == "swaps") {
+          killed.kind = FaultKind::swap_gatherer;
+          killed.share = 1;
+          killed.until = 11s;
+          killed.step = Span(4'000'000 / count);
+        }
+        if (kind != "nothing") cell.scenario.faults = {killed};
+        if (kind == "most-keepers-late") cell.scenario.faults.push_back(off);
+        cell.factors = {std::to_string(count), what, std::to_string(cell.seed)};
+        e.cells.push_back(std::move(cell));
+      }
+    }
+  }
+  e.charts.push_back({"goodput", "Share of good answers", "gatherers", "goodput", "what", {}});
+}
+
 // What it costs to decide is in timing.csv.
 void size(Experiment& e, std::uint32_t seed) {
   e.question = "What does deciding a part cost, by the size of the fleet and of the multiget?";
@@ -313,7 +350,8 @@
   static const std::vector<std::pair<std::string, Maker>> kMakers{
       {"policies", policies},   {"overload", overload}, {"recovery", recovery},
       {"gatherers", gatherers}, {"size", size},         {"loss", loss},
-      {"jams", jams},           {"fleets", fleets},     {"small", small}};
+      {"jams", jams},           {"fleets", fleets},     {"returns", returns},
+      {"small", small}};
   return kMakers;
 }
 
@@ -508,6 +546,30 @@
     if (kind == FaultKind::partition) fault.zone = 1;
     add(scenario::name_of(kind), {fault});
   }
+  // Gatherers under keepers, one of two struck; a keeper's faults come with the end of its gatherer, since without
+  // one nobody would see them.
+  const auto kept = [&](FaultKind kind, double strength, Span until = 8s) {
+    const bool of_keeper = kind == FaultKind::kill_keeper || kind == FaultKind::pause_keeper || kind == FaultKind::keeper_clock;
+    std::vector<Fault> faults{fault_of(kind, 4s, until, 0.5, strength)};
+    faults.front().first = 0;
+    if (of_keeper) {
+      faults.push_back(fault_of(FaultKind::kill_gatherer, 5s, 6s, 0.5, 1));
+      faults.back().first = 0;
+    }
+    add(std::string(scenario::name_of(kind)) + (kind == FaultKind::kill_gatherer ? ", kept" : of_keeper ? " and its gatherer" : ""),
+        std::move(faults));
+    out.back().second.gatherers.kept = true;
+  };
+  kept(FaultKind::kill_gatherer, 1);
+  kept(FaultKind::pause_gatherer, 1, 5s);
+  kept(FaultKind::swap_gatherer, 1);
+  kept(FaultKind::list_cut, 1);
+  kept(FaultKind::path_lost, 1, 5s);
+  kept(FaultKind::path_slow, 40);
+  kept(FaultKind::path_reset, 4);
+  kept(FaultKind::kill_keeper, 1);
+  kept(FaultKind::pause_keeper, 1);
+  kept(FaultKind::keeper_clock, 0.25);
   return out;
 }
 
