--- a/src/emulator/rollouts.cpp
+++ b/src/emulator/rollouts.cpp
@@ -158,7 +158,7 @@
         case Act::What::back: {
           One& one = fleet[static_cast<std::size_t>(std::stoi(act->keeper.substr(1)))];
           one.outcome = "under_way";
-          one.number += 1;
+          one.number = act->number;
           one.changes_to = act->version;
           one.changes_at = now + kProof;
           break;
--- a/src/fleet/rollout.cpp
+++ b/src/fleet/rollout.cpp
@@ -111,13 +111,14 @@
   Seen& seen = seen_[keeper.name];
   const json order = status.value("order", json::object());
   seen.epoch = order.value("epoch", std::uint64_t{0});
-  seen.number = order.value("number", std::uint64_t{0});
   rollout::Report report;
   report.in_force = status.value("in_force", "");
+  report.life = status.value("keeper", json::object()).value("since_ms", std::int64_t{0});
+  report.former = status.value("former", "");
   report.outcome = status.value("outcome", "");
   report.why = status.value("why", "");
   report.epoch = seen.epoch;
-  report.number = seen.number;
+  report.number = order.value("number", std::uint64_t{0});
   report.gave_up = status.value("gave_up", false);
   report.ends = status.value("ends", std::uint64_t{0});
   for (const json& version : status.value("versions", json::array()))
@@ -196,21 +197,21 @@
         remember(act->why);
         break;
       case Act::What::take:
-        order(act->keeper, {{"order", "take"}, {"version", act->version}, {"from", plan_.from}});
+        order(*act, {{"order", "take"}, {"version", act->version}, {"from", plan_.from}});
         break;
       case Act::What::use: {
         // A keeper that hears nothing any more takes it back by itself.
         Span trial = plan_.swap_limit + plan_.burn_in + plan_.longest_wait;
         for (const rollout::StagePlan& stage : plan_.stages) trial = std::max(trial, plan_.swap_limit + plan_.burn_in + plan_.longest_wait + stage.soak);
-        order(act->keeper, {{"order", "use"}, {"version", act->version}, {"trial_ms", trial / 1ms},
+        order(*act, {{"order", "use"}, {"version", act->version}, {"trial_ms", trial / 1ms},
                             {"if_in_force", conductor_->kept().former.at(act->keeper)}});
         break;
       }
       case Act::What::confirm:
-        order(act->keeper, {{"order", "confirm"}});
+        order(*act, {{"order", "confirm"}});
         break;
       case Act::What::back:
-        order(act->keeper, {{"order", "use"}, {"version", act->version}});
+        order(*act, {{"order", "use"}, {"version", act->version}});
         break;
       case Act::What::begin_judging: {
         std::set<std::string> changed;
@@ -227,14 +228,11 @@
   write_state();
 }
 
-void Rollout::order(const std::string& name, json what) {
+void Rollout::order(const Act& act, json what) {
+  const std::string name = act.keeper;
   const KeeperAt* const keeper = fleet_.find(name);
-  Seen& seen = seen_[name];
-  const std::uint64_t epoch = conductor_->kept().epoch;
-  seen.number = seen.epoch == epoch ? seen.number + 1 : 1;
-  seen.epoch = epoch;
-  what["epoch"] = epoch;
-  what["number"] = seen.number;
+  what["epoch"] = conductor_->kept().epoch;
+  what["number"] = act.number;
   // Held on its way for longer than this it does nothing.
   what["not_after_ms"] = loop_.clock().wall() / 1ms + 60'000;
   orders_out_ += 1;
--- a/src/fleet/rollout.h
+++ b/src/fleet/rollout.h
@@ -27,7 +27,7 @@
  private:
   struct Seen {
     std::int64_t windows_from = 0;
-    std::uint64_t epoch = 0, number = 0;  // of the last order it took
+    std::uint64_t epoch = 0;  // of the last order it took
     std::uint64_t ends_at_change = 0;
     bool asking = false;
   };
@@ -38,7 +38,7 @@
   void begin_when_known();
   void judge();
   void carry_out();
-  void order(const std::string& keeper, nlohmann::json what);
+  void order(const rollout::Act& act, nlohmann::json what);
   void heed();
   void write_state();
   void remember(const std::string& what);
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -11,10 +11,10 @@
 using nlohmann::json;
 
 constexpr const char* kStateNames[] = {"planned", "checking",  "watching", "swapping", "soaking", "waiting",
-                                       "paused",  "returning", "done",     "returned", "held",    "refused"};
+                                       "paused",  "confirming", "returning", "done",     "returned", "held",    "refused"};
 constexpr const char* kEventNames[] = {"start",  "ready",   "not ready",  "watched", "swapped",    "swap failed",
                                        "passed", "too little", "goes on", "stop",    "waited out", "pause",
-                                       "resume", "back",    "all back",   "back failed"};
+                                       "resume", "back",    "all back",   "back failed", "all told"};
 constexpr Span kOnItsWay = 5s;  // an order that no report shows after this was not taken, and is given again
 constexpr Span kHeard = 2s;     // a report that is so much later was made after it
 constexpr const char* kAtNames[] = {"old", "ordered", "on_trial", "confirmed", "back_ordered", "back", "held"};
@@ -46,65 +46,70 @@
 constexpr Next never(S s) { return {Do::impossible, s}; }
 
 // start, ready, not_ready, watched, swapped, swap_failed, passed, too_little, goes_on, stop, waited_out, pause, resume,
-// back, all_back, back_failed
+// back, all_back, back_failed, all_told
 constexpr Next kTable[kStates][kHappens] = {
     /* planned */
     {{Do::check, S::checking}, never(S::planned), never(S::planned), never(S::planned), never(S::planned),
      never(S::planned), never(S::planned), never(S::planned), never(S::planned), stay(S::planned),
      never(S::planned), stay(S::planned), stay(S::planned), {Do::give_up, S::refused}, never(S::planned),
-     never(S::planned)},
+     never(S::planned), never(S::planned)},
     /* checking */
     {stay(S::checking), {Do::watch, S::watching}, {Do::give_up, S::refused}, never(S::checking), never(S::checking),
      never(S::checking), never(S::checking), never(S::checking), never(S::checking), stay(S::checking),
      never(S::checking), {Do::rest, S::paused}, stay(S::checking), {Do::give_up, S::refused}, never(S::checking),
-     never(S::checking)},
+     never(S::checking), never(S::checking)},
     /* watching */
     {stay(S::watching), never(S::watching), {Do::give_up, S::refused}, {Do::swap, S::swapping}, never(S::watching),
-     never(S::watching), never(S::watching), never(S::watching), never(S::watching), stay(S::watching),
+     {Do::go_back, S::returning}, never(S::watching), never(S::watching), never(S::watching), stay(S::watching),
      never(S::watching), {Do::rest, S::paused}, stay(S::watching), {Do::give_up, S::refused}, never(S::watching),
-     never(S::watching)},
+     never(S::watching), never(S::watching)},
     /* swapping */
     {stay(S::swapping), never(S::swapping), never(S::swapping), never(S::swapping), {Do::soak, S::soaking},
      {Do::go_back, S::returning}, stay(S::swapping), stay(S::swapping), stay(S::swapping),
      {Do::go_back, S::returning}, {Do::go_back, S::returning}, {Do::rest, S::paused}, stay(S::swapping),
-     {Do::go_back, S::returning}, never(S::swapping), never(S::swapping)},
+     {Do::go_back, S::returning}, never(S::swapping), never(S::swapping), never(S::swapping)},
     /* soaking */
     {stay(S::soaking), never(S::soaking), never(S::soaking), never(S::soaking), never(S::soaking),
      {Do::go_back, S::returning}, {Do::advance, S::swapping}, {Do::wait, S::waiting}, stay(S::soaking),
      {Do::go_back, S::returning}, never(S::soaking), {Do::rest, S::paused}, stay(S::soaking),
-     {Do::go_back, S::returning}, never(S::soaking), never(S::soaking)},
+     {Do::go_back, S::returning}, never(S::soaking), never(S::soaking), never(S::soaking)},
     /* waiting */
     {stay(S::waiting), never(S::waiting), never(S::waiting), never(S::waiting), never(S::waiting),
      {Do::go_back, S::returning}, {Do::advance, S::swapping}, stay(S::waiting), {Do::go_on, S::soaking},
      {Do::go_back, S::returning}, {Do::go_back, S::returning}, {Do::rest, S::paused}, stay(S::waiting),
-     {Do::go_back, S::returning}, never(S::waiting), never(S::waiting)},
+     {Do::go_back, S::returning}, never(S::waiting), never(S::waiting), never(S::waiting)},
     /* paused: what is worse goes back all the same */
     {stay(S::paused), stay(S::paused), {Do::give_up, S::refused}, stay(S::paused), stay(S::paused),
      {Do::go_back, S::returning}, stay(S::paused), stay(S::paused), stay(S::paused), {Do::go_back, S::returning},
      never(S::paused), stay(S::paused), {Do::go_on_from, S::paused}, {Do::go_back, S::returning}, never(S::paused),
-     never(S::paused)},
+     never(S::paused), never(S::paused)},
+    /* confirming: nothing is judged any more */
+    {stay(S::confirming), never(S::confirming), never(S::confirming), never(S::confirming), never(S::confirming),
+     {Do::go_back, S::returning}, stay(S::confirming), stay(S::confirming), stay(S::confirming), stay(S::confirming),
+     {Do::end, S::held}, stay(S::confirming), stay(S::confirming), {Do::go_back, S::returning}, never(S::confirming),
+     never(S::confirming), {Do::end, S::done}},
     /* returning */
     {stay(S::returning), never(S::returning), never(S::returning), never(S::returning), never(S::returning),
      stay(S::returning), stay(S::returning), stay(S::returning), stay(S::returning), stay(S::returning),
      never(S::returning), stay(S::returning), stay(S::returning), stay(S::returning), {Do::end, S::returned},
-     {Do::end, S::held}},
+     {Do::end, S::held}, never(S::returning)},
     /* done */
     {stay(S::done), never(S::done), never(S::done), never(S::done), never(S::done), stay(S::done), stay(S::done),
      stay(S::done), stay(S::done), stay(S::done), never(S::done), stay(S::done), stay(S::done), stay(S::done),
-     never(S::done), never(S::done)},
+     never(S::done), never(S::done), never(S::done)},
     /* returned */
     {stay(S::returned), never(S::returned), never(S::returned), never(S::returned), never(S::returned),
      stay(S::returned), stay(S::returned), stay(S::returned), stay(S::returned), stay(S::returned),
      never(S::returned), stay(S::returned), stay(S::returned), stay(S::returned), never(S::returned),
-     never(S::returned)},
+     never(S::returned), never(S::returned)},
     /* held: a person may have it try again */
     {stay(S::held), never(S::held), never(S::held), never(S::held), never(S::held), stay(S::held), stay(S::held),
      stay(S::held), stay(S::held), stay(S::held), never(S::held), stay(S::held), stay(S::held),
-     {Do::go_back, S::returning}, never(S::held), never(S::held)},
+     {Do::go_back, S::returning}, never(S::held), never(S::held), never(S::held)},
     /* refused */
     {stay(S::refused), never(S::refused), never(S::refused), never(S::refused), never(S::refused), stay(S::refused),
      stay(S::refused), stay(S::refused), stay(S::refused), stay(S::refused), never(S::refused), stay(S::refused),
-     stay(S::refused), stay(S::refused), never(S::refused), never(S::refused)}};
+     stay(S::refused), stay(S::refused), never(S::refused), never(S::refused), never(S::refused)}};
 
 template <typename E>
 constexpr std::size_t place(E e) {
@@ -208,9 +213,63 @@
   out.why = why;
   if (what == Act::What::take || what == Act::What::use) out.version = plan_.version;
   if (what == Act::What::back) out.version = kept_.former[keeper];
+  if (!keeper.empty()) {
+    auto& [epoch, number] = given_[keeper];
+    number = epoch == kept_.epoch ? number + 1 : 1;
+    epoch = kept_.epoch;
+    if (what == Act::What::back) back_number_.try_emplace(keeper, number);
+    out.number = number;
+  }
   acts_.push_back(std::move(out));
 }
 
+std::string Conductor::line(Span horizon) const {
+  std::string out = name_of(kept_.state);
+  const auto say = [&](const auto& what) { out += ' ' + std::to_string(what); };
+  const auto age = [&](Span when) { say(std::min((now_ - when) / 1ms, horizon / 1ms)); };
+  const auto ages = [&](const std::map<std::string, Span>& of) {
+    for (const auto& [name, when] : of) {
+      out += ' ' + name;
+      age(when);
+    }
+    out += ';';
+  };
+  out += std::string(" from ") + name_of(kept_.paused_from);
+  say(kept_.stage);
+  say(kept_.epoch);
+  for (const auto& [name, at] : kept_.keepers) out += ' ' + name + ' ' + name_of(at);
+  for (const auto& [name, former] : kept_.former) out += ' ' + name + ' ' + former;
+  age(since_);
+  age(soak_since_);
+  age(wait_since_);
+  ages(ordered_);
+  ages(last_heard_);
+  ages(back_since_);
+  ages(again_);
+  for (const auto& [name, number] : back_number_) {
+    out += ' ' + name;
+    say(number);
+  }
+  // Of these only which came later counts.
+  std::vector<std::pair<Span, std::string>> changed;
+  for (const auto& [name, when] : changed_) changed.emplace_back(when, name);
+  std::sort(changed.begin(), changed.end());
+  for (const auto& [when, name] : changed) out += ' ' + name;
+  for (const auto& [name, report] : reports_) {
+    out += "; " + name + ' ' + report.in_force + ' ' + report.former + ' ' + report.outcome;
+    say(report.epoch);
+    say(report.number);
+    say(report.has_version + 2 * report.serves + 4 * report.gave_up);
+  }
+  for (const auto& [name, order] : given_) {
+    out += ' ' + name;
+    say(order.first);
+    say(order.second);
+  }
+  for (const Act& act : acts_) out += "; act " + std::to_string(static_cast<int>(act.what)) + ' ' + act.keeper;
+  return out;
+}
+
 std::optional<Act> Conductor::next() {
   if (acts_.empty()) return std::nullopt;
   Act out = std::move(acts_.front());
@@ -222,8 +281,14 @@
 
 void Conductor::report(const std::string& keeper, const Report& report) {
   if (!kept_.keepers.contains(keeper)) return;
+  // What it said before it took the last order that it is known to have taken comes late, and is true no more.
+  const auto before = reports_.find(keeper);
+  if (before != reports_.end() && before->second.life == report.life &&
+      std::pair(report.epoch, report.number) < std::pair(before->second.epoch, before->second.number))
+    return;
   last_heard_[keeper] = now_;
   reports_[keeper] = report;
+  given_[keeper] = {report.epoch, report.number};
   At& at = kept_.keepers[keeper];
   const bool has = report.in_force == plan_.version;
   const bool failed = report.outcome == "back" || report.outcome == "held" || report.outcome == "refused";
@@ -248,7 +313,10 @@
     case At::on_trial:
     case At::confirmed:
       if (has && !report.gave_up && report.outcome != "held") {
-        if (at == At::on_trial && report.outcome == "done") at = At::confirmed;
+        if (at == At::on_trial && report.outcome == "done") {
+          at = At::confirmed;
+          act(Act::What::keep);
+        }
         return;
       }
       // It went back by itself: it was not sound, or nobody confirmed it in time.
@@ -259,6 +327,9 @@
     case At::back_ordered:
       // What it said before the order came says nothing of it.
       if (now_ - ordered_[keeper] < kHeard) return;
+      // Nor does its being where it was before: an order to change that is on its way still would be taken. Only the order
+      // back, once taken, fences that by its number.
+      if (!back_number_.contains(keeper) || report.epoch != kept_.epoch || report.number < back_number_[keeper]) return;
       if (report.in_force == kept_.former[keeper] && at_rest(report) && report.outcome != "held" && report.serves) {
         at = At::back;
         changed_.erase(keeper);
@@ -305,13 +376,15 @@
 void Conductor::tick(Span now, Span wall) {
   now_ = now;
   wall_ = wall;
+  confirm_again();
   switch (kept_.state) {
     case State::checking: {
       bool all = true;
       for (const Member& member : members_) {
         const auto report = reports_.find(member.name);
         const bool there = report != reports_.end() && report->second.has_version && at_rest(report->second) &&
-                           report->second.serves && report->second.outcome != "on_trial";
+                           report->second.serves &&
+                           (report->second.outcome != "on_trial" || report->second.in_force == plan_.version);
         all = all && there;
         if (report != reports_.end() && !report->second.has_version && !plan_.from.empty() &&
             at_rest(report->second) && !ordered_.contains(member.name)) {
@@ -321,7 +394,7 @@
       }
       if (all) {
         ordered_.clear();
-        for (const Member& member : members_) kept_.former[member.name] = reports_[member.name].in_force;
+        for (const Member& member : members_) adopt(member.name, reports_[member.name]);
         return on(Happens::ready);
       }
       if (now_ - since_ >= plan_.swap_limit) {
@@ -348,6 +421,14 @@
     case State::waiting:
       if (now_ - wait_since_ >= plan_.longest_wait) on(Happens::waited_out, "waited too long: " + said_);
       return;
+    case State::confirming: {
+      const std::vector<std::string> untold = of(At::on_trial);
+      if (untold.empty()) return on(Happens::all_told);
+      if (now_ - since_ < plan_.longest_wait) return;
+      std::string who;
+      for (const std::string& name : untold) who += " " + name;
+      return on(Happens::waited_out, "passed, but not confirmed at" + who + ": confirm it there by hand, or it takes it back");
+    }
     case State::returning:
       return order_some_back();
     default:
@@ -355,6 +436,16 @@
   }
 }
 
+// One that has the version already was changed by a conductor whose memory this one has not: it is not changed again, and
+// what it goes back to is what its keeper says.
+void Conductor::adopt(const std::string& name, const Report& report) {
+  const bool has = report.in_force == plan_.version;
+  kept_.former[name] = has ? report.former : report.in_force;
+  if (!has) return;
+  kept_.keepers[name] = report.outcome == "on_trial" ? At::on_trial : At::confirmed;
+  changed_[name] = now_;
+}
+
 void Conductor::look_at_stage() {
   const std::vector<std::string>& its = stages_[static_cast<std::size_t>(kept_.stage)];
   const bool all = std::all_of(its.begin(), its.end(), [&](const std::string& name) {
@@ -409,7 +500,7 @@
   int under_way = 0;
   for (const std::string& name : of(At::back_ordered)) under_way += settled(name) ? 0 : 1;
   for (const std::string& name : of(At::ordered)) under_way += settled(name) ? 0 : 1;
-  bool open = !of(At::back_ordered).empty(), failed = !of(At::held).empty();
+  bool open = !of(At::back_ordered).empty() || !of(At::ordered).empty(), failed = !of(At::held).empty();
   std::vector<std::pair<Span, std::string>> left;
   for (const auto& [name, at] : kept_.keepers) {
     if (at == At::on_trial || at == At::confirmed || ((at == At::ordered || at == At::back_ordered) && settled(name)))
@@ -424,6 +515,11 @@
     const auto report = reports_.find(name);
     if (under_way >= plan_.at_a_time || report == reports_.end() || !at_rest(report->second)) continue;
     if (!back_since_.contains(name)) back_since_[name] = now_;
+    if (kept_.former[name].empty()) {  // nobody knows what it had before
+      kept_.keepers[name] = At::held;
+      failed = true;
+      continue;
+    }
     kept_.keepers[name] = At::back_ordered;
     ordered_[name] = now_;
     now_ordered.push_back(name);
@@ -459,7 +555,23 @@
 
 void Conductor::confirm_stage() {
   for (const std::string& name : stages_[static_cast<std::size_t>(kept_.stage)]) {
-    if (kept_.keepers[name] == At::on_trial) act(Act::What::confirm, name);
+    if (kept_.keepers[name] != At::on_trial) continue;
+    again_[name] = now_;
+    act(Act::What::confirm, name);
+  }
+}
+
+// A confirmation that no report shows was lost: its keeper would take back, when its trial is over, what has passed.
+void Conductor::confirm_again() {
+  const bool under_way = kept_.state == State::swapping || kept_.state == State::soaking || kept_.state == State::waiting ||
+                         kept_.state == State::confirming;
+  if (!under_way) return;
+  for (int stage = 0; stage < (kept_.state == State::confirming ? kept_.stage + 1 : kept_.stage); ++stage) {
+    for (const std::string& name : stages_[static_cast<std::size_t>(stage)]) {
+      if (kept_.keepers[name] != At::on_trial || now_ - last_heard_[name] > kOnItsWay || now_ - again_[name] < kOnItsWay) continue;
+      again_[name] = now_;
+      act(Act::What::confirm, name);
+    }
   }
 }
 
@@ -495,7 +607,7 @@
       kept_.why.clear();  // of a wait that is over
       confirm_stage();
       if (kept_.stage + 1 >= static_cast<int>(plan_.stages.size())) {
-        kept_.state = State::done;
+        kept_.state = State::confirming;
       } else {
         kept_.stage += 1;
       }
@@ -517,6 +629,7 @@
         if (from == State::held) kept_.keepers[name] = At::on_trial;  // tried once more
       }
       back_since_.clear();
+      back_number_.clear();
       break;
   }
   act(Act::What::keep);
--- a/src/rollout/conductor.h
+++ b/src/rollout/conductor.h
@@ -25,13 +25,14 @@
   soaking,     // the stage shows itself
   waiting,     // too little was asked to tell, or a trouble strikes old and new alike
   paused,      // by a person, between two steps
+  confirming,  // every stage has passed, and the last keepers are told so
   returning,   // what was changed goes back
   done,        // every stage has passed
   returned,    // everything is as it was
   held,        // the way back failed somewhere: a person has to look
   refused      // nothing was changed, since something was not ready
 };
-inline constexpr int kStates = 12;
+inline constexpr int kStates = 13;
 enum class Happens {
   start,
   ready,       // every keeper is
@@ -48,9 +49,10 @@
   resume,
   back,        // a person wants it back
   all_back,
-  back_failed
+  back_failed,
+  all_told     // every keeper has been told that it stays
 };
-inline constexpr int kHappens = 16;
+inline constexpr int kHappens = 17;
 const char* name_of(State state);
 const char* name_of(Happens event);
 std::optional<State> state_named(const std::string& name);
@@ -60,8 +62,9 @@
 
 // What a keeper says of itself.
 struct Report {
-  std::string in_force, outcome, why;
+  std::string in_force, former, outcome, why;  // former: what it goes back to
   std::uint64_t epoch = 0, number = 0;  // of the last order it took
+  std::int64_t life = 0;                // of the keeper's own process: when it began
   bool has_version = false, serves = false, gave_up = false;
   std::uint64_t ends = 0, broken_invariants = 0;
 };
@@ -69,6 +72,7 @@
 struct Act {
   enum class What { keep, take, use, confirm, back, begin_judging, note } what = What::note;
   std::string keeper, version, why;
+  std::uint64_t number = 0;  // of an order, in this conductor's epoch
 };
 
 // What survives a conductor.
@@ -112,6 +116,8 @@
   const std::vector<std::vector<std::string>>& stages() const { return stages_; }
   std::uint64_t impossible() const { return impossible_; }
   const std::string& said() const { return said_; }  // of the wait, in words
+  // All that decides what it does from here on; times as ages of `horizon` at most. Two of one line go on alike.
+  std::string line(Span horizon) const;
 
  private:
   struct Cell;
@@ -120,6 +126,8 @@
   void order_some();      // of the stage, as many as may be at a time
   void order_some_back();
   void confirm_stage();
+  void confirm_again();
+  void adopt(const std::string& name, const Report& report);
   void look_at_stage();
   std::vector<std::string> of(At at) const;
 
@@ -132,6 +140,9 @@
   Span soak_since_{}, wait_since_{};
   std::map<std::string, Span> ordered_, changed_, last_heard_, back_since_, again_;
   std::map<std::string, Report> reports_;
+  std::map<std::string, std::uint64_t> back_number_;  // of the first order back that each was given in this epoch
+  // Of the last order that each keeper is known to have been given: by its report, or by this conductor since.
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> given_;
   std::string said_;
   std::uint64_t impossible_ = 0;
   std::deque<Act> acts_;
--- a/tests/rollout_traces.cpp
+++ b/tests/rollout_traces.cpp
@@ -141,7 +141,7 @@
     std::string to;
     Span at = Span::max();
     bool reachable = true, fails = false, fails_back = false, has = true;
-    std::uint64_t epoch = 0, uses = 0;
+    std::uint64_t epoch = 0, number = 0, uses = 0;
   };
   Plan plan;
   std::vector<Member> its;
@@ -195,6 +195,7 @@
       report.outcome = one.outcome;
       report.why = "it failed";
       report.epoch = one.epoch;
+      report.number = one.number;
       report.has_version = one.has;
       report.serves = true;
       conductor->report(name, report);
@@ -217,6 +218,7 @@
       if (act->what == Act::What::confirm) {
         if (one.outcome == "on_trial") one.outcome = "done";
         one.epoch = epoch;
+        one.number = act->number;
         continue;
       }
       if (act->what == Act::What::use) {
@@ -233,6 +235,7 @@
       one.to = act->what == Act::What::use ? "new" : act->version;
       one.outcome = "under_way";
       one.epoch = epoch;
+      one.number = act->number;
       one.at = now + 3s;
     }
     int under_way = 0;
