--- a/src/explore/rollout_world.cpp
+++ b/src/explore/rollout_world.cpp
@@ -278,6 +278,7 @@
   }
 
   void take_over(bool with_kept) {
+    late_.reset();  // it was said to the former one
     std::uint64_t epoch = with_kept ? disk_.epoch : 0;
     for (const Keeper& one : keepers_) {
       if (one.reachable && one.kept.order) epoch = std::max(epoch, one.kept.order->epoch);
