--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -192,8 +192,8 @@
   watch_command->add_option("--every", every, "Seconds between two looks")->check(CLI::Range(0.2, 3600.0));
   CLI::App* const order_command = with_file(app.add_subcommand("order", "One order to one keeper"));
   order_command->add_option("KEEPER", name)->required();
-  order_command->add_option("ORDER", kind, "use, run, stop, confirm, take or drop")->required();
-  order_command->add_option("VERSION", version, "of use, take and drop");
+  order_command->add_option("ORDER", kind, "use, run, stop, confirm, take, drop or try")->required();
+  order_command->add_option("VERSION", version, "of use, take, drop and try");
   order_command->add_option("--from", from, "take: the folder on that machine it is copied from");
   order_command->add_option("--trial", trial, "use: taken back unless confirmed within so many seconds");
   order_command->add_option("--epoch", epoch, "of who is in charge; that of the last order otherwise");
--- a/src/fleet/rollout.cpp
+++ b/src/fleet/rollout.cpp
@@ -121,6 +121,10 @@
   report.number = order.value("number", std::uint64_t{0});
   report.gave_up = status.value("gave_up", false);
   report.ends = status.value("ends", std::uint64_t{0});
+  if (order.value("order", "") == "try" && order.value("version", "") == plan_.version) {
+    if (report.outcome == "done") report.tried = rollout::Report::Tried::good;
+    if (report.outcome == "refused") report.tried = rollout::Report::Tried::bad;
+  }
   for (const json& version : status.value("versions", json::array()))
     report.has_version = report.has_version || version.value("id", "") == plan_.version;
   for (const json& one : status.value("processes", json::array())) {
@@ -199,6 +203,9 @@
       case Act::What::take:
         order(*act, {{"order", "take"}, {"version", act->version}, {"from", plan_.from}});
         break;
+      case Act::What::try_out:
+        order(*act, {{"order", "try"}, {"version", act->version}});
+        break;
       case Act::What::use: {
         // A keeper that hears nothing any more takes it back by itself.
         Span trial = plan_.swap_limit + plan_.burn_in + plan_.longest_wait;
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/file.h>
+#include <sys/statvfs.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -25,6 +26,7 @@
 constexpr Span kHealthEvery = 1s, kHealthWithin = 1s;
 constexpr std::size_t kMostState = 64 * 1024;
 constexpr std::int64_t kRecentMs = 10'000;
+constexpr std::uint64_t kLeastRoom = 16'000'000;  // bytes, for what it writes of its own
 
 std::string stated_or(const json& from, const char* key, const char* otherwise) {
   return from.contains(key) && from[key].is_string() ? from[key].get<std::string>() : otherwise;
@@ -346,6 +348,35 @@
   carry_out();
 }
 
+// The way there and the way back, as far as they can be tried without either.
+void Keeper::try_out(const std::string& version) {
+  const std::string present = minder_->kept().in_force;
+  std::string wrong;
+  if (room_bytes() < kLeastRoom) wrong = "no room left on its disk";
+  for (const std::string& each : {version, present}) {
+    const std::string damaged = !wrong.empty() || each.empty() ? "" : versions_.verify(each);
+    if (!damaged.empty()) wrong = each + ": " + damaged;
+  }
+  if (!wrong.empty()) return minder_->versions_done(wrong);
+  const auto step = [&](const std::string& program, const std::string& settings, bool must, const std::string& what) {
+    Tryout::Step out{what, versions_.path(program) + "/marbledyke", {versions_.path(settings) + "/config.json"}, must};
+    if (versions_.facts(settings).program.ends_with(kWithOperatorFile))
+      out.files.push_back(versions_.path(settings) + "/operator.xml");
+    return out;
+  };
+  std::vector<Tryout::Step> steps{step(version, version, true, version + " refuses its settings")};
+  if (!present.empty() && present != version) {
+    steps.push_back(step(present, present, true, present + " refuses its settings, so there is no way back"));
+    steps.push_back(step(version, present, false, version + " does not take the settings of " + present));
+    steps.push_back(step(present, version, false, present + " does not take the settings of " + version));
+  }
+  trying_ = std::make_unique<Tryout>(loop_, std::move(steps), [this](const Tryout::Result& result) {
+    loop_.at(loop_.now(), [this] { trying_.reset(); });
+    minder_->versions_done(result.wrong, result.notes);
+    carry_out();
+  });
+}
+
 Reply Keeper::order(const std::string& body) {
   Order order;
   try {
@@ -377,6 +408,8 @@
         } catch (const std::exception& wrong) {
           minder_->versions_done(wrong.what());
         }
+      } else if (order.kind == Kind::try_out) {
+        try_out(order.version);
       } else if (order.kind == Kind::drop) {
         try {
           versions_.drop(order.version);
@@ -416,6 +449,11 @@
   return {404, R"({"error":"not here: /status, /windows, /order, /healthz"})"};
 }
 
+std::uint64_t Keeper::room_bytes() const {
+  struct statvfs room {};
+  return statvfs(options_.folder.c_str(), &room) == 0 ? room.f_bavail * room.f_frsize : 0;
+}
+
 std::string Keeper::status() const {
   const Minder& m = *minder_;
   const Kept& kept = m.kept();
@@ -435,6 +473,7 @@
               {"ends", kept.ends},
               {"strikes", kept.strikes},
               {"gave_up", kept.gave_up},
+              {"room_bytes", room_bytes()},
               {"unsaved", m.unsaved()},
               {"impossible", m.impossible()},
               {"versions", json::array()},
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -11,6 +11,7 @@
 #include "keeper/child.h"
 #include "keeper/control.h"
 #include "keeper/minder.h"
+#include "keeper/tryout.h"
 #include "keeper/versions.h"
 #include "net/loop.h"
 #include "totals/totals.h"
@@ -58,8 +59,10 @@
   void ask_health();
   void beat();
   void take_some();
+  void try_out(const std::string& version);
   Reply order(const std::string& body);
   std::string status() const;
+  std::uint64_t room_bytes() const;
   std::string windows(std::int64_t from_ms) const;
 
   net::Loop& loop_;
@@ -73,6 +76,7 @@
   net::Descriptor listener_;
   std::unique_ptr<Control> control_;
   std::unique_ptr<Versions::Taking> taking_;
+  std::unique_ptr<Tryout> trying_;
   std::unique_ptr<net::Stream> health_;
   std::vector<std::unique_ptr<net::Stream>> graves_;
   bool health_said_ = false;
--- a/src/keeper/minder.cpp
+++ b/src/keeper/minder.cpp
@@ -214,6 +214,7 @@
     const bool done = has_ordered == (kept_.order->kind == Kind::take);
     finish(done ? Outcome::done : Outcome::refused, done ? "" : "the keeper ended before it was done");
   }
+  if (open && kept_.order->kind == Kind::try_out) finish(Outcome::refused, "the keeper ended before it was done");
   if (!kept_.wanted) {
     if (will_ == Will::running) on(WillEvent::unwanted);
     if (kept_.outcome == Outcome::under_way && !first && !second) finish(Outcome::done, "");
@@ -296,12 +297,13 @@
       return on(SwapEvent::confirmed);
     case Kind::take:
     case Kind::drop:
+    case Kind::try_out:
       return;  // carried out by who keeps the folder; versions_done() ends it
   }
 }
 
-void Minder::versions_done(const std::string& wrong) {
-  finish(wrong.empty() ? Outcome::done : Outcome::refused, wrong);
+void Minder::versions_done(const std::string& wrong, const std::string& notes) {
+  finish(wrong.empty() ? Outcome::done : Outcome::refused, wrong.empty() ? notes : wrong);
 }
 
 void Minder::leave() {
--- a/src/keeper/minder.h
+++ b/src/keeper/minder.h
@@ -110,8 +110,8 @@
   // An order that considers() took and that has been written down.
   static Kept with(const Kept& kept, const Order& order, Span wall);
   void take(const Order& order, Kept kept, const VersionFacts& target, const VersionFacts& former);
-  // Copying or removing a version has ended.
-  void versions_done(const std::string& wrong);
+  // Copying, removing or trying a version has ended.
+  void versions_done(const std::string& wrong, const std::string& notes = {});
 
   // What became of acts, and what processes do.
   void began(int slot, const VersionFacts& facts);
--- a/src/keeper/orders.cpp
+++ b/src/keeper/orders.cpp
@@ -14,7 +14,7 @@
 using config::BadInput;
 using nlohmann::json;
 
-constexpr std::array<const char*, kKinds> kKindNames{"use", "run", "stop", "confirm", "take", "drop"};
+constexpr std::array<const char*, kKinds> kKindNames{"use", "run", "stop", "confirm", "take", "drop", "try"};
 constexpr std::array<const char*, kOutcomes> kOutcomeNames{"none",    "under_way", "on_trial", "returning",
                                                            "done",    "refused",   "back",     "held"};
 constexpr std::array<const char*, kVerdicts> kVerdictNames{
@@ -63,9 +63,10 @@
   const std::string& kind = config::text(from, "order");
   int place = 0;
   while (place < kKinds && kind != kKindNames[static_cast<std::size_t>(place)]) ++place;
-  if (place == kKinds) throw BadInput("order: not use, run, stop, confirm, take or drop: " + kind);
+  if (place == kKinds) throw BadInput("order: not use, run, stop, confirm, take, drop or try: " + kind);
   out.kind = static_cast<Kind>(place);
-  const bool names = out.kind == Kind::use || out.kind == Kind::take || out.kind == Kind::drop;
+  const bool names = out.kind == Kind::use || out.kind == Kind::take || out.kind == Kind::drop ||
+                     out.kind == Kind::try_out;
   if (names) {
     out.version = config::text(from, "version");
     if (!is_version_name(out.version)) throw BadInput("version: not a version's name: " + out.version);
@@ -154,7 +155,7 @@
   if (order.kind != Kind::stop && order.kind != Kind::use && kept.outcome == Outcome::on_trial)
     return Verdict::busy;
   if (order.kind == Kind::use && !has_version) return Verdict::unknown_version;
-  if (order.kind == Kind::drop && !has_version) return Verdict::unknown_version;
+  if ((order.kind == Kind::drop || order.kind == Kind::try_out) && !has_version) return Verdict::unknown_version;
   if (order.kind == Kind::drop && (order.version == kept.in_force || order.version == kept.former))
     return Verdict::busy;
   if (order.kind == Kind::run && kept.in_force.empty()) return Verdict::unknown_version;
--- a/src/keeper/orders.h
+++ b/src/keeper/orders.h
@@ -11,14 +11,14 @@
 
 namespace marbledyke::keeper {
 
-enum class Kind { use, run, stop, confirm, take, drop };
-inline constexpr int kKinds = 6;
+enum class Kind { use, run, stop, confirm, take, drop, try_out };
+inline constexpr int kKinds = 7;
 const char* name_of(Kind kind);
 
 struct Order {
   std::uint64_t epoch = 0, number = 0;
   Kind kind = Kind::run;
-  std::string version;                    // of use, take and drop
+  std::string version;                    // of use, take, drop and try
   std::string from;                       // take: the folder it is copied from
   std::optional<std::string> if_in_force;  // refused where another version is in force
   std::int64_t not_after_ms = 0;          // wall clock; 0: whenever it comes
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -211,7 +211,7 @@
   out.what = what;
   out.keeper = keeper;
   out.why = why;
-  if (what == Act::What::take || what == Act::What::use) out.version = plan_.version;
+  if (what == Act::What::take || what == Act::What::try_out || what == Act::What::use) out.version = plan_.version;
   if (what == Act::What::back) out.version = kept_.former[keeper];
   if (!keeper.empty()) {
     auto& [epoch, number] = given_[keeper];
@@ -259,6 +259,7 @@
     out += "; " + name + ' ' + report.in_force + ' ' + report.former + ' ' + report.outcome;
     say(report.epoch);
     say(report.number);
+    say(static_cast<int>(report.tried));
     say(report.has_version + 2 * report.serves + 4 * report.gave_up);
   }
   for (const auto& [name, order] : given_) {
@@ -295,6 +296,17 @@
   switch (at) {
     case At::old:
     case At::back:
+      // An order of a former conductor was on its way, and has been taken: it counts as this one's from now on.
+      if (!has || kept_.state == State::checking || kept_.state == State::planned || over()) return;
+      if (at_rest(report)) {
+        at = report.outcome == "on_trial" ? At::on_trial : At::confirmed;
+        changed_[keeper] = now_;
+      } else {
+        at = At::ordered;
+        ordered_[keeper] = now_;
+      }
+      act(Act::What::note, {}, keeper + " has taken an order of a former conductor");
+      return act(Act::What::keep);
     case At::held:
       return;
     case At::ordered:
@@ -385,7 +397,15 @@
         const bool there = report != reports_.end() && report->second.has_version && at_rest(report->second) &&
                            report->second.serves &&
                            (report->second.outcome != "on_trial" || report->second.in_force == plan_.version);
-        all = all && there;
+        const bool untried = plan_.tried && there && report->second.in_force != plan_.version &&
+                             report->second.tried != Report::Tried::good;
+        if (untried && report->second.tried == Report::Tried::bad)
+          return on(Happens::not_ready, member.name + " has tried it: " + report->second.why);
+        if (untried && (!again_.contains(member.name) || now_ - again_[member.name] >= kOnItsWay)) {
+          again_[member.name] = now_;
+          act(Act::What::try_out, member.name);
+        }
+        all = all && there && !untried;
         if (report != reports_.end() && !report->second.has_version && !plan_.from.empty() &&
             at_rest(report->second) && !ordered_.contains(member.name)) {
           ordered_[member.name] = now_;
@@ -394,6 +414,7 @@
       }
       if (all) {
         ordered_.clear();
+        again_.clear();
         for (const Member& member : members_) adopt(member.name, reports_[member.name]);
         return on(Happens::ready);
       }
@@ -405,6 +426,8 @@
             who += " " + member.name + " (not reached)";
           } else if (!report->second.has_version) {
             who += " " + member.name + " (does not have " + plan_.version + ": " + report->second.why + ")";
+          } else if (plan_.tried && report->second.tried == Report::Tried::no && report->second.in_force != plan_.version) {
+            who += " " + member.name + " (has not tried it)";
           } else if (!report->second.serves || !at_rest(report->second)) {
             who += " " + member.name + " (does not serve, or an order is under way)";
           }
--- a/src/rollout/conductor.h
+++ b/src/rollout/conductor.h
@@ -65,12 +65,14 @@
   std::string in_force, former, outcome, why;  // former: what it goes back to
   std::uint64_t epoch = 0, number = 0;  // of the last order it took
   std::int64_t life = 0;                // of the keeper's own process: when it began
+  // What became of trying the version beside what serves; `why` says it.
+  enum class Tried { no, good, bad } tried = Tried::no;
   bool has_version = false, serves = false, gave_up = false;
   std::uint64_t ends = 0, broken_invariants = 0;
 };
 
 struct Act {
-  enum class What { keep, take, use, confirm, back, begin_judging, note } what = What::note;
+  enum class What { keep, take, try_out, use, confirm, back, begin_judging, note } what = What::note;
   std::string keeper, version, why;
   std::uint64_t number = 0;  // of an order, in this conductor's epoch
 };
--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -124,7 +124,7 @@
   std::vector<double> old_ones, new_ones;
   double minutes = 1e9;
   for (const auto& [name, of] : keepers_) {
-    if (of.rss_first_at == 0 || of.rss_last_at - of.rss_first_at < 60'000) {
+    if (of.rss_first_at == 0 || of.rss_last_at - of.rss_first_at < 10'000) {
       if (changed_.contains(name)) return;
       continue;
     }
--- a/src/rollout/judge.cpp
+++ b/src/rollout/judge.cpp
@@ -11,6 +11,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr double kNoWarmingUp = 16e6;  // bytes that a process grows by beyond what the old ones do
 constexpr const char* kMeasureNames[] = {"good", "failed", "pushed back", "slow", "further sends", "CPU"};
 constexpr const char* kVerdictNames[] = {"going", "passed", "too little to tell", "worse",
                                          "harm",  "trouble", "at once"};
@@ -242,9 +243,9 @@
 }
 
 void Judge::memory(double bytes_new, double bytes_old, double minutes) {
-  // Growth over less than this is a process that warms up.
-  if (minutes < 3) return;
   const double beyond = bytes_new - std::max(bytes_old, 0.0);
+  // Growth over less than this is a process that warms up, unless it is by so much.
+  if (minutes < 3 && beyond * minutes < kNoWarmingUp) return;
   if (beyond < limits_.memory_a_minute) return;
   char out[120];
   std::snprintf(out, sizeof out, "memory grows by %.2f MB a minute, the old ones' by %.2f", bytes_new / 1e6,
--- a/src/rollout/plan.h
+++ b/src/rollout/plan.h
@@ -22,6 +22,7 @@
 struct Plan {
   std::string name, version;
   std::string from;  // the folder on each machine that the version is taken from; empty: it is there already
+  bool tried = false;  // each keeper tries it, and the way back, before the first stage
   int at_a_time = 1;
   Span before{30'000'000};        // what both sides do is looked at for so long before the first change
   Span burn_in{5'000'000};        // after a start, left out on both sides
