Rollouts: an order fails by its number; a front's timers know whether it is there

A successor that comes to a former epoch read a keeper's earlier failure as its own order's: an order now counts as failed only from the number it was given (found with two faults in each world).

The sanitizer found a timer of a Z39.50 front that outlived it, where a stand-in of search_rig takes its front down; such timers of both fronts now know whether theirs is there.

--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -217,6 +217,7 @@
     auto& [epoch, number] = given_[keeper];
     number = epoch == kept_.epoch ? number + 1 : 1;
     epoch = kept_.epoch;
+    if (what == Act::What::use) use_number_[keeper] = number;
     if (what == Act::What::back) back_number_.try_emplace(keeper, number);
     out.number = number;
   }
@@ -246,9 +247,12 @@
   ages(last_heard_);
   ages(back_since_);
   ages(again_);
-  for (const auto& [name, number] : back_number_) {
-    out += ' ' + name;
-    say(number);
+  for (const auto* numbers : {&use_number_, &back_number_}) {
+    for (const auto& [name, number] : *numbers) {
+      out += ' ' + name;
+      say(number);
+    }
+    out += ';';
   }
   // Of these only which came later counts.
   std::vector<std::pair<Span, std::string>> changed;
@@ -315,7 +319,7 @@
         changed_[keeper] = now_;
         ordered_.erase(keeper);
         act(Act::What::keep);
-      } else if (failed && report.epoch == kept_.epoch) {
+      } else if (failed && report.epoch == kept_.epoch && report.number >= use_number_[keeper]) {
         at = report.outcome == "held" ? At::held : At::back;
         ordered_.erase(keeper);
         act(Act::What::keep);
--- a/src/rollout/conductor.h
+++ b/src/rollout/conductor.h
@@ -142,7 +142,8 @@
   Span soak_since_{}, wait_since_{};
   std::map<std::string, Span> ordered_, changed_, last_heard_, back_since_, again_;
   std::map<std::string, Report> reports_;
-  std::map<std::string, std::uint64_t> back_number_;  // of the first order back that each was given in this epoch
+  std::map<std::string, std::uint64_t> use_number_;   // of the last order to change that each was given in this epoch
+  std::map<std::string, std::uint64_t> back_number_;  // of the first order back
   // Of the last order that each keeper is known to have been given: by its report, or by this conductor since.
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> given_;
   std::string said_;
--- a/src/sru/front.cpp
+++ b/src/sru/front.cpp
@@ -201,7 +201,8 @@
     return part(caller);
   }
   // What came meanwhile has its turn after everyone else's.
-  loop_.at(loop_.now(), [this, number = caller.number] {
+  loop_.at(loop_.now(), [this, number = caller.number, there = std::weak_ptr(there_)] {
+    if (there.expired()) return;
     const auto at = callers_.find(number);
     if (at == callers_.end()) return;
     at->second->answering = false;
--- a/src/sru/front.h
+++ b/src/sru/front.h
@@ -63,6 +63,7 @@
   bool parting_ = false, leaving_ = false;
   std::optional<net::Loop::Timer> swept_;
   Tally tally_;
+  std::shared_ptr<const bool> there_ = std::make_shared<const bool>(true);  // for timers that may outlive this
 };
 
 }  // namespace marbledyke::sru
--- a/src/z3950/front.cpp
+++ b/src/z3950/front.cpp
@@ -247,7 +247,8 @@
 
 // What waited until an operation was done, or until the client had read; after everyone else's turn.
 void Front::read_on(Association& at) {
-  loop_.at(loop_.now(), [this, number = at.number] {
+  loop_.at(loop_.now(), [this, number = at.number, there = std::weak_ptr(there_)] {
+    if (there.expired()) return;
     const auto found = associations_.find(number);
     if (found == associations_.end()) return;
     arrived(*found->second);
