--- a/src/fleet/rollout.cpp
+++ b/src/fleet/rollout.cpp
@@ -25,6 +25,7 @@
 constexpr Span kLimit = 2s;
 constexpr Span kKnown = 5s;             // at its start it hears whoever can be heard for so long
 constexpr std::int64_t kSilentMs = 15'000;  // a changed process that tells no window for so long
+constexpr Span kFetched = 3s;               // its windows were fetched within this
 constexpr std::size_t kMostState = 4 * 1024 * 1024;
 
 std::string state_file(const std::string& folder) { return folder + "/rollout"; }
@@ -99,6 +100,7 @@
   talk_.call(keeper.control, "GET", "/windows?from_ms=" + std::to_string(seen.windows_from), "", kLimit,
              [this, &keeper](const Answer& answer) {
                if (answer.status != 200 || !answer.body.is_object()) return;
+               seen_[keeper.name].windows_heard = loop_.now();
                try {
                  windows_came(keeper.name, answer.body);
                } catch (const std::exception& wrong) {
@@ -144,8 +146,10 @@
   if (!is || judge == nullptr) return;
   if (report.broken_invariants > 0) judge->at_once(keeper.name + ": a broken invariant");
   if (report.ends > seen.ends_at_change) judge->at_once(keeper.name + ": its process ended by itself");
+  // What could not be fetched is not what was not told.
+  const bool fetched = seen.windows_heard && loop_.now() - *seen.windows_heard < kFetched;
   const std::int64_t newest = evidence_.newest(keeper.name);
-  if (newest > 0 && loop_.clock().wall() / 1ms - newest > kSilentMs) judge->at_once(keeper.name + ": it tells nothing any more");
+  if (fetched && newest > 0 && loop_.clock().wall() / 1ms - newest > kSilentMs) judge->at_once(keeper.name + ": it tells nothing any more");
 }
 
 void Rollout::windows_came(const std::string& keeper, const json& said) {
--- a/src/fleet/rollout.h
+++ b/src/fleet/rollout.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "disk/disk.h"
@@ -29,6 +30,7 @@
     std::int64_t windows_from = 0;
     std::uint64_t epoch = 0;  // of the last order it took
     std::uint64_t ends_at_change = 0;
+    std::optional<Span> windows_heard;  // the last call for them that was answered
     bool asking = false;
   };
   void beat();
