Relays end a connection only when the other side has taken all

A relay of the rig that was told the end of one side closed the other with what it had not taken yet: answers of a keeper with more than a minute of windows were cut, so a conductor heard none of them (rollout_rig faults: taken back, or a wait too long).

--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -152,7 +152,8 @@
     if (count == 0) return;  // goes on once the other side has taken some
     if (way.trickle > 0) break;
   }
-  if (from.held.empty() && from.ended) return drop(pair, false);
+  // What the other side has not taken yet is not cut off: once it has, this is come back to.
+  if (from.held.empty() && from.ended && to.out().empty()) return drop(pair, false);
   if (from.held.empty() || way.held || from.due) return;
   wait(pair, there, std::max(from.held.front().first, loop_.now() + 1ms));
 }
@@ -172,7 +173,8 @@
   side.ended = true;
   const Way& way = there ? there_ : back_;
   if (way.lost) return;  // nobody is told
-  if (side.held.empty() || !pair.side(!there).stream->connected()) return drop(pair, false);
+  net::Stream& other = *pair.side(!there).stream;
+  if (!other.connected() || (side.held.empty() && other.out().empty())) return drop(pair, false);
   deliver(pair, there);
 }
 
