Rigs: one way to a send, and one to a second conductor that is refused

The large frames of address_rig and the two scenes of rollout_rig wrote the same lines again. rig_fates and rollout_rig_successors print what they did.

--- a/tests/address_rig.cpp
+++ b/tests/address_rig.cpp
@@ -71,7 +71,7 @@
     servers.listed(news);
   }
 
-  Rid send(const std::string& server, bool once, std::size_t size = 8, Span patience = 3s) {
+  servers::Errand errand_of(bool once, std::size_t size, Span patience) {
     servers::Errand errand;
     char digits[17];
     std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(++number));
@@ -81,6 +81,11 @@
     errand.text = std::make_shared<const std::string>(size, 'x');
     errand.pulled = loop.now();
     errand.not_past = loop.now() + patience;
+    return errand;
+  }
+
+  Rid send(const std::string& server, bool once, std::size_t size = 8, Span patience = 3s) {
+    servers::Errand errand = errand_of(once, size, patience);
     const Rid part = errand.part;
     servers.call(server, {std::move(errand)});
     return part;
@@ -90,17 +95,8 @@
   void send_large(const std::string& server, std::vector<Rid>& parts, Span patience) {
     std::vector<servers::Errand> call;
     for (int i = 0; i < 16; ++i) {
-      servers::Errand errand;
-      char digits[17];
-      std::snprintf(digits, sizeof digits, "b%015llu", static_cast<unsigned long long>(++number));
-      std::copy_n(digits, 16, errand.part.text.begin());
-      errand.id = digits;
-      errand.once = true;
-      errand.text = std::make_shared<const std::string>(64 * 1024, 'x');
-      errand.pulled = loop.now();
-      errand.not_past = loop.now() + patience;
-      parts.push_back(errand.part);
-      call.push_back(std::move(errand));
+      call.push_back(errand_of(true, 64 * 1024, patience));
+      parts.push_back(call.back().part);
     }
     servers.call(server, std::move(call));
   }
--- a/tests/rollout_rig.cpp
+++ b/tests/rollout_rig.cpp
@@ -77,6 +77,16 @@
                      {}, path("conductor.log"));
   }
   rig::Process& conductor() { return conductor_; }
+  // Another one over the same folder, once this one has begun.
+  bool second_refused() {
+    until(2s, [] { return false; });
+    rig::Process second;
+    second.start({rig::program("marbledyke-fleet"), "rollout", "start", path("fleet.xml"), path("plan.xml"), "--folder",
+                  path("rollout")},
+                 {}, path("second.log"));
+    until(5s, [&] { return second.ended().has_value(); });
+    return second.ended() && WEXITSTATUS(*second.ended()) == 2;
+  }
   json state() {
     std::ifstream in(path("rollout/rollout"));
     return json::parse(in, nullptr, false);
@@ -172,13 +182,7 @@
   scene.conductor().signal(SIGKILL);
   scene.until(3s, [&] { return scene.conductor().ended().has_value(); });
   scene.conduct();
-  rig::Process second;
-  scene.until(2s, [] { return false; });
-  second.start({rig::program("marbledyke-fleet"), "rollout", "start", scene.site().folder() + "/fleet.xml",
-                scene.site().folder() + "/plan.xml", "--folder", scene.site().folder() + "/rollout"},
-               {}, scene.site().folder() + "/second.log");
-  scene.until(5s, [&] { return second.ended().has_value(); });
-  say("a second conductor over it is refused", second.ended() && WEXITSTATUS(*second.ended()) == 2);
+  say("a second conductor over it is refused", scene.second_refused());
   const int status = scene.exit_status(150s);
   std::printf("a conductor killed in the first stage, its successor ends with status %d%s%s\n", status,
               scene.why().empty() ? "" : "; ", scene.why().c_str());
@@ -188,7 +192,7 @@
 
 // Twelve gatherers, and all that lies between the conductor and their keepers goes wrong while it goes on: slow and lossy
 // paths, half of the keepers out of reach in the middle of a stage, a conductor that stands still and one that is killed.
-// By hand: the judge's noise at 25 multigets a second decides how it ends as well (docs/rollouts.md).
+// By hand: two minutes, and at 25 multigets a second the judge's noise has a say in how it ends.
 void faults() {
   Setting setting;
   setting.machines = 12;
@@ -221,13 +225,7 @@
     scene.site().machine(i).control_relay->cut();
   }
   scene.conduct();
-  scene.until(2s, [] { return false; });
-  rig::Process second;
-  second.start({rig::program("marbledyke-fleet"), "rollout", "start", scene.site().folder() + "/fleet.xml",
-                scene.site().folder() + "/plan.xml", "--folder", scene.site().folder() + "/rollout"},
-               {}, scene.site().folder() + "/second.log");
-  scene.until(5s, [&] { return second.ended().has_value(); });
-  say("a second conductor over it is refused", second.ended() && WEXITSTATUS(*second.ended()) == 2);
+  say("a second conductor over it is refused", scene.second_refused());
   const int status = scene.exit_status(150s);
   std::printf("half out of reach, the conductor killed, its successor ends with status %d%s%s\n", status,
               scene.why().empty() ? "" : "; ", scene.why().c_str());
