A client that floods and goes no longer ends the gatherer: its next answer met a reset

Cause: Clients::drained sets a timer that reads on; in it, arrived() answers the next pipelined request, the write meets the client's reset, the caller is erased, and the lambda's iterator is used after that (clients.cpp:187, heap-use-after-free under the sanitizer). A caller lives until it is buried after the turn, so it is held by reference.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -182,9 +182,10 @@
   loop_.at(loop_.now(), [this, number] {
     const auto at = callers_.find(number);
     if (at == callers_.end()) return;
-    at->second->answering = false;
-    arrived(*at->second);
-    at->second->stream->read_on();
+    Caller& next = *at->second;  // may end in what follows; it is buried after the turn
+    next.answering = false;
+    arrived(next);
+    next.stream->read_on();
   });
 }
 
