Sanitized: accepted_late meets each kind of watcher before descriptors run out

accepted_late failed under the sanitizers only: UBSan's first look at an object of each type opens a pipe, which fails without descriptors and is taken for an object that is none.

--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -503,6 +503,12 @@
 void accepted_late() {
   SteppedTime clock;
   Scene scene(entry("A", 11), clock);
+  {
+    // All kinds of watchers are called once before: the sanitizer's first look at each needs a descriptor itself.
+    Client before;
+    before.wire.put("GET /healthz HTTP/1.1\r\n\r\n");
+    scene.answered(before, "a client before");
+  }
   scene.pass(10ms);
   Client client;
   rlimit limit{};
