--- /dev/null
+++ b/src/distribution/publisher.h
@@ -0,0 +1,81 @@
+// What a control node decides about its receivers, without I/O: which waiting call is answered when, and what
+// is known of who runs which revision. A receiver's call says what it runs, so that every call is an
+// acknowledgement as well.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "distribution/revision.h"
+#include "model/plain.h"
+
+namespace marbledyke::distribution {
+
+inline constexpr std::size_t kMostReceivers = 4096;
+inline constexpr Span kLongestWait{10'000'000};        // of a call
+inline constexpr Span kRevisionSpacing{500'000};       // a receiver is given no two revisions within this
+inline constexpr Span kReceiverForgotten{60'000'000};  // one not heard of for so long
+
+struct WatchCall {
+  std::string receiver, zone;
+  std::int64_t index = 0;    // in force at the receiver
+  std::string digest;        // of that revision
+  std::int64_t refused = 0;  // the newest revision that it refused; 0: none
+  std::string refused_why;   // names the key, at most 200 characters
+  Span wait{};
+};
+// The query of GET /v1/configuration. read throws config::BadInput naming the field.
+std::string query_of(const WatchCall& call);
+WatchCall read_watch_call(const std::string& target);
+
+struct WatchAnswer {
+  std::int64_t newest = 0;           // the node's own; may be below the receiver's where the node is behind
+  std::optional<Revision> revision;  // none: nothing newer that is meant for this receiver
+};
+nlohmann::json put(const WatchAnswer& answer);
+WatchAnswer read_watch_answer(const nlohmann::json& from);
+
+struct ReceiverState {
+  std::string zone;
+  std::int64_t index = 0, refused = 0;
+  std::string refused_why;
+  Span heard{};     // last
+  Span in_force{};  // when it first told that it runs `index`
+  Span given{};     // when it was last given a revision
+};
+
+struct Summary {
+  std::int64_t newest = 0;
+  std::string digest;
+  std::map<std::int64_t, std::size_t> receivers_by_index;
+  std::vector<std::pair<std::string, ReceiverState>> refusing;  // of the newest, 64 at most
+  std::optional<Span>
+      everywhere_after;  // from learning the newest until all known receivers it is meant for ran it
+  std::uint64_t calls = 0, revisions_given = 0, bytes_given = 0;
+};
+
+class Publisher {
+ public:
+  using Caller = std::uint64_t;  // of the host
+  struct Due {
+    Caller caller;
+    WatchAnswer answer;
+  };
+  void tick(Span now);
+  void chosen(const Revision& revision);  // older ones change nothing
+  // False: too many receivers; the host answers 503.
+  bool called(Caller caller, const WatchCall& call);
+  void left(Caller caller);
+  std::optional<Due> next();          // answers that are due
+  std::optional<Span> wakes() const;  // when tick() is needed next
+  Summary summary() const;
+
+ private:
+  // Chosen by the implementer.
+};
+
+}  // namespace marbledyke::distribution
