A whole list's entry that cannot be read leaves its server as it was

Cause: read_news leaves out and counts an entry that it cannot read, and a whole list then marks every server that it does not name as gone: one odd status or group at discovery took a serving server out, with its connections.

Change: the names of such entries go along in list::News. Servers keeps each server's last row in place of the flag it had (no second list; its zone is numbered anew by name where a reload renames zones), keeps what is known of its addresses, and the gatherer hands the module the last row again before the list closes, so that src/choice.cpp is as it was. Carriers keep their state too. A server that drained goes on draining; who was never known, or whose entry has no name that can be read, stays out. discovery.bad_entries names the first of them and why, list.came says how many kept their state, and gatherer.totals counts entries_unreadable, those of `known` at the start too.

Ruled out: a list of changes in place of the whole one (rows of servers that are gone would need a zone and a cell).

Measured: crossing_list_unreadable_entry fails on src/ as it was ("WAITED IN VAIN for a frame" at the first list) and passes now; the added line of search_carriers reads otherwise with the carrier as it was. 43 tests of the lists, addresses, crossings and carriers pass (Release); list_lies and list_asked after their program was built.

--- a/src/addresses/book.cpp
+++ b/src/addresses/book.cpp
@@ -40,6 +40,11 @@
   merge(name, server, news_);
 }
 
+void Book::stays(std::string_view name) {
+  const auto at = servers_.find(name);
+  if (at != servers_.end()) at->second.seen = true;
+}
+
 void Book::gone(const std::string& name) {
   const auto at = servers_.find(name);
   if (at == servers_.end()) return;
--- a/src/addresses/book.h
+++ b/src/addresses/book.h
@@ -86,6 +86,7 @@
   // One piece of news: opens, rows, closes. A whole list forgets servers it does not name.
   void news_opens(bool whole);
   void listed(const std::string& server, bool up, std::vector<Address> addresses);
+  void stays(std::string_view server);  // as it is, where it is known at all
   void gone(const std::string& server);
   void news_closes();
 
--- a/src/carrier/carrier.cpp
+++ b/src/carrier/carrier.cpp
@@ -58,7 +58,7 @@
 
 void Carrier::listed(const list::News& news) {
   if (news.whole) {
-    for (auto& [name, known] : servers_) known.up = false;
+    for (auto& [name, known] : servers_) known.up = known.up && news.unreadable.contains(name);
   }
   for (const list::Entry& entry : news.entries) {
     const std::string& name = entry.row.server;
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -73,7 +73,8 @@
     choice_.list_closes();
     watch_.held(known.index);
     log::event(log::Level::info, "list.remembered",
-               {{"servers", known.entries.size()}, {"version", known.index}});
+               {{"servers", known.entries.size()}, {"version", known.index}, {"left_out", known.skipped}});
+    done_.unreadable += static_cast<std::uint64_t>(known.skipped);
   }
   if (!commission.carriage.list_is_asked) watch_.ask(true);
 }
@@ -203,6 +204,7 @@
   carry_out();
   choice_.renew(fresh.terms);
   const bool ask_anew = to.zones != from.zones || to.cells != from.cells;
+  if (ask_anew) servers_.renumber_zones(from.zones, to.zones);
   const bool pushed_now = from.list_is_asked && !to.list_is_asked;
   commission_.terms = fresh.terms;
   from = to;
@@ -280,6 +282,16 @@
   servers_.listed(news);
   for (const auto& one : carriers_) one->listed(news);
   choice_.list_opens(news.whole, false);
+  // A whole list says nothing of a server whose entry cannot be read: the module is told again what it was
+  // told last.
+  std::size_t kept = 0;
+  for (const std::string& name : news.unreadable) {
+    const ListRow* const last = news.whole ? servers_.last_row(name) : nullptr;
+    if (last == nullptr) continue;
+    choice_.list_row(*last);
+    kept += 1;
+  }
+  done_.unreadable += static_cast<std::uint64_t>(news.skipped);
   for (const list::Entry& entry : news.entries) {
     choice_.list_row(entry.row);
     log::event(log::Level::debug, "list.server",
@@ -291,8 +303,9 @@
   choice_.list_closes();
   clients_.room(client_room(commission_, servers_.servers_listed()));
   if (!news.entries.empty())
-    log::event(log::Level::info, "list.came",
-               {{"version", news.index}, {"entries", news.entries.size()}, {"whole", news.whole}});
+    log::event(
+        log::Level::info, "list.came",
+        {{"version", news.index}, {"entries", news.entries.size()}, {"whole", news.whole}, {"kept", kept}});
 }
 
 // The module's ids: eight digits of the multiget's number, four zeros, and four of the part's place, 0 for
@@ -633,6 +646,7 @@
               {"dropped", t.dropped},
               {"expired", t.expired},
               {"servers_known", choice_.servers_known()},
+              {"entries_unreadable", done_.unreadable},
               {"odd_frames", t.odd_frames},
               {"dials", a.dials},
               {"second_choice", a.second_choice},
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -99,7 +99,7 @@
 
   struct Taken {
     std::uint64_t sent = 0, answered = 0, pushed_back = 0, failed = 0, left = 0, no_room = 0,
-                  second_steps = 0;
+                  second_steps = 0, unreadable = 0;
   };
 
   Rid part_id(const Rid& multiget, std::size_t piece) const;
--- a/src/list/news.cpp
+++ b/src/list/news.cpp
@@ -58,6 +58,19 @@
   return out;
 }
 
+// The name of an entry of which something else cannot be read; empty: that cannot be read either.
+std::string name_of(const json& from) {
+  const auto name = from.is_object() ? from.find("name") : from.end();
+  return name != from.end() && name->is_string() ? name->get<std::string>() : std::string();
+}
+
+void leave_out(const json& from, const BadInput& wrong, News& news) {
+  ++news.skipped;
+  std::string name = name_of(from);
+  if (news.fault.empty()) news.fault = (name.empty() ? "an entry" : name) + ": " + wrong.what();
+  if (!name.empty()) news.unreadable.insert(std::move(name));
+}
+
 }  // namespace
 
 News read_news(const json& from, const config::Carriage& carriage, Span unix_start) {
@@ -69,8 +82,8 @@
   for (const json& one : config::array(from, "endpoints")) {
     try {
       out.entries.push_back(entry(one, carriage, unix_start, out.odd_addresses));
-    } catch (const BadInput&) {
-      ++out.skipped;
+    } catch (const BadInput& wrong) {
+      leave_out(one, wrong, out);
     }
   }
   return out;
--- a/src/list/news.h
+++ b/src/list/news.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,12 +22,15 @@
   std::int64_t index = 0;
   bool whole = false;
   std::vector<Entry> entries;
-  int skipped = 0;        // entries that made no sense
+  int skipped = 0;                                // entries that cannot be read
+  std::set<std::string, std::less<>> unreadable;  // their names, of those that have one
+  std::string fault;                              // of the first of them: its name and what is wrong
   int odd_addresses = 0;  // further addresses that made none; their entries stand
 };
 
 // unix_start is the Unix time at which the gatherer's own clock stood at zero. Throws config::BadInput where
-// the whole makes no sense; single entries that do not are left out and counted.
+// the whole makes no sense. A single entry that cannot be read is left out and counted; its server keeps its
+// last state, also in a whole list.
 News read_news(const config::json& from, const config::Carriage& carriage, Span unix_start);
 
 }  // namespace marbledyke::list
--- a/src/list/watch.cpp
+++ b/src/list/watch.cpp
@@ -123,7 +123,7 @@
   hang_up(beside(line));
   if (news.skipped > 0 || news.odd_addresses > 0)
     log::event(log::Level::warning, "discovery.bad_entries",
-               {{"left_out", news.skipped}, {"addresses", news.odd_addresses}});
+               {{"left_out", news.skipped}, {"first", news.fault}, {"addresses", news.odd_addresses}});
   index_ = news.index;
   told_.news(std::move(news));
   if (watching_) {
--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -7,6 +7,9 @@
 
 namespace marbledyke::servers {
 using namespace std::chrono_literals;
+namespace {
+constexpr int kNoZone = -1;  // of a row whose zone the settings no longer name
+}  // namespace
 
 // A connection that races to become a link's. Nothing but a probe is ever written to it before it has won, so
 // that no part can be at a server that lost.
@@ -88,16 +91,21 @@
 void Servers::listed(const list::News& news) {
   // Nothing is kept of a server that the list no longer has, but for what is out on its connections: under
   // new ids all day, servers would otherwise fill the memory.
-  if (news.whole) up_.clear();
+  if (news.whole)
+    std::erase_if(rows_, [&](const auto& one) {
+      return !news.unreadable.contains(one.first) || last_row(one.first) == nullptr;
+    });
   book_.news_opens(news.whole);
+  if (news.whole) {
+    for (const auto& [name, row] : rows_) book_.stays(name);
+  }
   for (const list::Entry& entry : news.entries) {
     if (entry.row.standing == Standing::gone) {
-      up_.erase(entry.row.server);
+      rows_.erase(entry.row.server);
       book_.gone(entry.row.server);
     } else {
-      const bool up = entry.row.standing == Standing::up;
-      up_[entry.row.server] = up;
-      book_.listed(entry.row.server, up, entry.addresses);
+      rows_[entry.row.server] = entry.row;
+      book_.listed(entry.row.server, entry.row.standing == Standing::up, entry.addresses);
     }
   }
   book_.news_closes();
@@ -110,7 +118,7 @@
 void Servers::relist() {
   std::vector<Link*> unwanted, too_late;
   for (const auto& [number, link] : links_) {
-    link->current = link->race ? up_.contains(link->server) : book_.usable(link->server, link->address);
+    link->current = link->race ? rows_.contains(link->server) : book_.usable(link->server, link->address);
     if (!wanted(*link)) (link->race ? too_late : unwanted).push_back(link.get());
   }
   for (Link* link : unwanted) rest(*link);
@@ -121,12 +129,28 @@
   plan_trials();
 }
 
-// New sends may go over it: it has not kept silent, and its server is up and still there.
-bool Servers::wanted(const Link& link) const {
-  const auto at = up_.find(link.server);
-  return link.trusted && link.current && at != up_.end() && at->second;
+const ListRow* Servers::last_row(std::string_view server) const {
+  const auto at = rows_.find(server);
+  if (at == rows_.end() || at->second.zone == kNoZone || at->second.cell >= carriage_.cells) return nullptr;
+  return &at->second;
+}
+
+void Servers::renumber_zones(const std::vector<std::string>& from, const std::vector<std::string>& to) {
+  for (auto& [name, row] : rows_) {
+    if (row.zone == kNoZone) continue;
+    const auto at = std::find(to.begin(), to.end(), from[static_cast<std::size_t>(row.zone)]);
+    row.zone = at == to.end() ? kNoZone : static_cast<int>(at - to.begin());
+  }
+}
+
+bool Servers::up(std::string_view server) const {
+  const auto at = rows_.find(server);
+  return at != rows_.end() && at->second.standing == Standing::up;
 }
 
+// New sends may go over it: it has not kept silent, and its server is up and still there.
+bool Servers::wanted(const Link& link) const { return link.trusted && link.current && up(link.server); }
+
 void Servers::call(const std::string& server, std::vector<Errand> errands) {
   bury();
   const auto most = static_cast<std::size_t>(carriage_.parts_a_call);
@@ -200,7 +224,7 @@
 // where nothing else is out, and nothing joins it, as long as a server has few connections of ours. Harm:
 // about one more connection a server.
 Servers::Link* Servers::link_for(const std::string& server, const std::vector<Errand>& errands) {
-  if (!up_.contains(server)) return nullptr;
+  if (!rows_.contains(server)) return nullptr;
   const auto room = static_cast<std::size_t>(carriage_.parts_a_connection);
   const auto once = [](const Errand& errand) { return errand.once; };
   const bool careful = std::any_of(errands.begin(), errands.end(), once);
@@ -372,7 +396,7 @@
   const auto runner = std::find_if(link.runners.begin(), link.runners.end(),
                                    [&](const Runner& one) { return one.number == attempt; });
   // A list that has taken the address away meanwhile takes it out of the race as well.
-  if (up_.contains(link.server) && !book_.usable(link.server, runner->to))
+  if (rows_.contains(link.server) && !book_.usable(link.server, runner->to))
     return runner_ended(link, attempt, addresses::End::not_needed);
   book_.ended(*link.race, attempt, addresses::End::came_up, loop_.now());
   book_.over(*link.race);
@@ -477,12 +501,11 @@
     if (link.writing.letter == '1') {
       // What waited for the connection, or behind another's frame, is not written any more where the list has taken the
       // server out meanwhile, or the window for its repeat is over.
-      const auto listed_as = up_.find(link.server);
-      const bool up = listed_as != up_.end() && listed_as->second;
+      const bool takes_more = up(link.server);
       std::erase_if(link.writing.ids, [&](const std::string& id) {
         const auto out = link.outs.find(id);
         if (out == link.outs.end()) return true;
-        if (up && loop_.now() < out->second.errand.begun_by) return false;
+        if (takes_more && loop_.now() < out->second.errand.begun_by) return false;
         settle(link, id, Fate::unused);
         return true;
       });
--- a/src/servers/servers.h
+++ b/src/servers/servers.h
@@ -68,7 +68,12 @@
   void configure(const addresses::Rules& rules,
                  std::map<std::string, addresses::Book::Configured, std::less<>> configured);
 
+  // An entry of a whole list that cannot be read leaves its server as it was.
   void listed(const list::News& news);
+  // What the list last said of a server that it has; none: nothing, or not under the present zones and cells.
+  const ListRow* last_row(std::string_view server) const;
+  // Before the settings name other zones: what is held is numbered anew, by their names.
+  void renumber_zones(const std::vector<std::string>& from, const std::vector<std::string>& to);
   // One turn's sends to one server, in one call as far as a call goes.
   void call(const std::string& server, std::vector<Errand> errands);
   void withdraw(const Rid& part, int send);
@@ -85,7 +90,7 @@
   const Tally& tally() const { return tally_; }
   const addresses::Book& book() const { return book_; }
   std::size_t connections() const { return links_.size(); }
-  std::size_t servers_listed() const { return up_.size(); }
+  std::size_t servers_listed() const { return rows_.size(); }
   std::size_t sockets() const;  // those of races and trials with them
 
  private:
@@ -119,6 +124,7 @@
   void end_probe(Link& link, Fate fate, LoadReport report = {});
   void doubt(Link& link, Span since);
   void rest(Link& link);
+  bool up(std::string_view server) const;  // listed, and takes something new
   bool wanted(const Link& link) const;
   void expect_more(Link& link);
   void bury();
@@ -127,7 +133,7 @@
   const config::Carriage& carriage_;
   std::function<bool()> make_room_;
   addresses::Book book_;
-  std::map<std::string, bool, std::less<>> up_;  // the servers listed, and whether they take anything new
+  std::map<std::string, ListRow, std::less<>> rows_;      // the servers listed, up or draining
   std::map<std::uint64_t, std::unique_ptr<Link>> links_;  // by their number, so in the order of their opening
   std::map<std::uint64_t, std::unique_ptr<Trial>> trials_;
   std::optional<net::Loop::Timer> trial_wake_;
--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -173,6 +173,58 @@
   goes_to(scene, a, b, "m");
 }
 
+// Discovery says this, and then three multigets come.
+void told(Scene& scene, Discovery& discovery, Leaf& a, Leaf& b, int index, const std::string& entries) {
+  scene.until("a call", [&] { return !discovery.asked.empty(); });
+  discovery.asked.clear();
+  discovery.answer(list_of(index, entries));
+  scene.until("its being read", [&] { return !discovery.asked.empty(); });
+  for (const char* one : {"-1", "-2", "-3"}) goes_to(scene, a, b, "m" + std::to_string(index) + one);
+}
+
+// An entry of a whole list that cannot be read leaves its server as it was: up, draining, or unknown, also
+// where the zones were numbered anew meanwhile. Without a name it is nobody's, and its server gone like any
+// that a whole list does not name.
+void list_unreadable_entry() {
+  Leaf a(11), b(12);
+  Discovery discovery(2);
+  SteppedTime clock;
+  Scene scene(entry("A", 11) + "," + entry("B", 12), clock);
+  scene.hosts = {&a, &b, &discovery};
+  const std::string bad_group =
+      R"({"name":"A","address":")" + address(11) + R"(","zone":"a","group":9,"status":"ready"})";
+  const std::string bad_address = R"({"name":"B","address":"nowhere","zone":"a","status":"ready"})";
+  say("A's status cannot be read, B drains");
+  told(scene, discovery, a, b, 5, entry("A", 11, "bogus") + "," + entry("B", 12, "draining"));
+  say("A drains, B is ready");
+  told(scene, discovery, a, b, 6, entry("A", 11, "draining") + "," + entry("B", 12));
+  say("A's group cannot be read, nor can a server's entry that was never known");
+  told(scene, discovery, a, b, 7, bad_group + "," + entry("B", 12) + "," + entry("C", 13, "bogus"));
+  say("A is ready, B gone");
+  told(scene, discovery, a, b, 8, entry("A", 11));
+  say("A is ready, B's address cannot be read: it stays gone");
+  told(scene, discovery, a, b, 9, entry("A", 11) + "," + bad_address);
+  say("A's group cannot be read, while a part is out there, and it is not the first zone any more");
+  Client client;
+  client.send("m", "issue", kOne);
+  const auto out = scene.next(a, "A");
+  discovery.asked.clear();  // another call is made
+  scene.reload({{R"("zones":["a"])", R"("zones":["z","a"])"}});
+  told(scene, discovery, a, b, 10, bad_group);
+  a.answer(out.wire, "m.1", "S 1 -", "v");
+  scene.answered(client, "client");
+  say("an entry without a name, B is ready");
+  told(scene, discovery, a, b, 11, R"({"name":7,"zone":"a","status":"ready"},)" + entry("B", 12));
+  say("A is ready, B drains");
+  told(scene, discovery, a, b, 12, entry("A", 11) + "," + entry("B", 12, "draining"));
+  say("A's zone is no more, and its group cannot be read");
+  discovery.asked.clear();
+  scene.reload({{R"("zones":["a"])", R"("zones":["z"])"}});
+  std::string in_z = entry("B", 12);
+  in_z.replace(in_z.find(R"("zone":"a")"), 10, R"("zone":"z")");
+  told(scene, discovery, a, b, 13, bad_group + "," + in_z);
+}
+
 // All watches fall silent at once, then a quarter of the servers drain and stay up, under traffic; discovery answers
 // whoever asks anew. Nothing is sent to who drains once the grace after it counts as told is over: 2 s after the wait.
 void silent_and_draining() {
@@ -541,6 +593,7 @@
       {"list_back", list_back},
       {"list_pushed_reset", list_pushed_reset},
       {"list_same_turn", list_same_turn},
+      {"list_unreadable_entry", list_unreadable_entry},
       {"silent_and_draining", silent_and_draining},
       {"ready_without_list", ready_without_list},
       {"room_follows_list", room_follows_list},
--- a/tests/search_traces.cpp
+++ b/tests/search_traces.cpp
@@ -573,7 +573,8 @@
 // ---- carriers: servers that cannot be had ----
 
 void carriers() {
-  const auto play = [](const char* what, std::vector<net::Address> addresses, Span patience) {
+  const auto play = [](const char* what, std::vector<net::Address> addresses, Span patience,
+                       bool then_unreadable = false) {
     net::Loop loop;
     loop.read_clock();
     config::Carriage its = carriage();
@@ -588,6 +589,11 @@
     entry.addresses = std::move(addresses);
     news.entries.push_back(entry);
     carrier.listed(news);
+    if (then_unreadable) {
+      news.entries.clear();
+      news.unreadable.insert("s");
+      carrier.listed(news);
+    }
     std::vector<servers::Errand> errands;
     for (int i = 0; i < 3; ++i) {
       servers::Errand errand;
@@ -632,6 +638,7 @@
   play("it comes up and does not greet", {silent}, 900ms);
   play("one is dead, the other does not greet", {nobody, silent}, 900ms);
   play("the time is up first", {silent}, 30ms);
+  play("its next entry cannot be read", {silent}, 900ms, true);
 }
 
 // ---- seeded damage ----
