Turns of the loop over 20 ms are told, with what the process used of them

Cause: nothing in the log tells an answer that is late because the loop's turn ran long, or because others had the processor, from one that was decided late.

Change: the loop measures each turn, from when it was due (a timer's time, or the end of the wait) to the next wait, and the processor time the process used since the turn before. The gatherer logs those over 20 ms as gatherer.long_turn (one a second, as other events) and puts the longest since the last report into gatherer.totals as longest_turn_ms.

Ruled out: measuring from the end of the wait only; a process that does not get the processor comes out of its wait late.

--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -25,6 +25,8 @@
 constexpr Span kLastAnswers = 200ms;
 // The protocol's limits are so much longer on sockets; that long a send may be under way.
 constexpr Span kSlack = 50ms;
+// Later than that what was due may miss a latency budget; an ordinary turn takes well under a millisecond.
+constexpr Span kLongTurn = 20ms;
 // What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice, a
 // file that is read again.
 constexpr int kOwnDescriptors = 9;
@@ -63,6 +65,9 @@
       watch_(loop_, commission, unix_start_,
              {[this](list::News news) { news_.push_back(std::move(news)); }, [this](Span most_backoff) { refusals_.push_back(most_backoff); }}),
       hand_(static_cast<std::size_t>(commission.carriage.most_in_hand)) {
+  loop_.tell_long_turns(kLongTurn, [this](const net::Loop::Turn& turn) {
+    long_turns_.event({{"ms", turn.took / 1ms}, {"processor_ms", turn.processor / 1ms}, {"in_hand", open_}});
+  });
   choice_.clock(loop_.now());
   if (commission.known.is_object()) {
     list::News known = read_known(commission, unix_start_);
@@ -631,6 +636,7 @@
               {"no_room", done_.no_room},
               {"second_steps", done_.second_steps},
               {"in_hand", open_},
+              {"longest_turn_ms", loop_.take_longest_turn() / 1ms},
               {"calls", t.calls},
               {"sends", t.sends},
               {"probes", t.probes},
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -16,6 +16,7 @@
 #include "config/commission.h"
 #include "front/front.h"
 #include "list/watch.h"
+#include "log/log.h"
 #include "model/slab.h"
 #include "net/loop.h"
 #include "operator_file/terms.h"
@@ -150,6 +151,7 @@
   std::optional<Span> leave_by_;  // in a planned stop: when all must be over
   bool accepting_ = true, parting_ = false;
   Taken done_;
+  log::Throttled long_turns_{log::Level::warning, "gatherer.long_turn"};
   std::optional<Record> record_;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -15,6 +15,21 @@
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
+void Loop::tell_long_turns(Span limit, std::function<void(const Turn&)> told) {
+  long_turn_ = limit;
+  long_turn_told_ = std::move(told);
+}
+
+void Loop::end_turn() {
+  const std::clock_t used = std::clock();
+  const std::chrono::duration<double> processor(static_cast<double>(used - std::exchange(used_, used)) /
+                                                CLOCKS_PER_SEC);
+  if (!turn_began_) return;
+  const Span took = now_ - *turn_began_;
+  longest_turn_ = std::max(longest_turn_, took);
+  if (took > long_turn_) long_turn_told_({took, std::chrono::duration_cast<Span>(processor)});
+}
+
 void Loop::read_clock() { now_ = clock_.steady() - start_; }
 
 std::uint32_t Loop::watch(int fd, Watcher& watcher) {
@@ -73,6 +88,8 @@
 void Loop::gather() {
   int patience = -1;
   read_clock();
+  end_turn();
+  const Span waits_from = now_;
   if (!timers_.empty()) {
     const Span left = clock_.machine_time(std::max(timers_.begin()->first.first - now_, Span::zero()));
     patience = static_cast<int>(std::min<std::int64_t>((left.count() + 999) / 1000, 60'000));
@@ -80,6 +97,7 @@
   std::array<epoll_event, 256> room;  // not the loop's own: a turn may be taken within a turn
   auto events = wait(room, patience);
   read_clock();
+  turn_began_ = timers_.empty() ? now_ : std::clamp(timers_.begin()->first.first, waits_from, now_);
   tell(events);
   // A process that was stopped comes back out of its wait with nothing, or with what was there before, while its clock
   // has gone on. So what has come in by now is read before any timer speaks: an answer that waits to be read is not
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -5,8 +5,10 @@
 #include <sys/epoll.h>
 
 #include <cstdint>
+#include <ctime>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
@@ -43,6 +45,15 @@
   Timer at(Span when, std::function<void()> what);
   void cancel(const Timer& timer) { timers_.erase(timer); }
 
+  // From when it was due, the time of a timer or the end of the wait, to the next wait.
+  struct Turn {
+    Span took{};
+    Span processor{};  // what the process used of it; much less than `took`: others had the machine
+  };
+  // Whoever is given here is told at its end of each turn that took longer.
+  void tell_long_turns(Span limit, std::function<void(const Turn&)> told);
+  Span take_longest_turn() { return std::exchange(longest_turn_, Span::zero()); }  // since the last time
+
   // Waits for what is ready, until the next timer at the latest, and tells it.
   void gather();
 
@@ -54,6 +65,7 @@
 
   std::span<const epoll_event> wait(std::span<epoll_event> room, int patience) const;
   void tell(std::span<const epoll_event> events);
+  void end_turn();
 
   const TimeSource& clock_;
   Descriptor epoll_;
@@ -63,6 +75,10 @@
   std::vector<std::uint32_t> free_;
   std::map<Timer, std::function<void()>> timers_;
   std::uint64_t next_timer_ = 0;
+  std::optional<Span> turn_began_;  // none before the first
+  Span longest_turn_{}, long_turn_ = Span::max();
+  std::clock_t used_ = std::clock();  // of the processor, until the present turn
+  std::function<void(const Turn&)> long_turn_told_;
 };
 
 }  // namespace marbledyke::net
--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -581,30 +581,55 @@
   say(clock.steady() - room < 200ms ? "within 0.2 s" : "LATE");
 }
 
+// A turn that takes long is told, with how long; the longest goes into the totals once.
+void long_turn() {
+  SteppedTime clock;
+  Scene scene(entry("A", 11), clock);
+  log::tap([](const std::string& line) {
+    for (const char* key : {"\"ms\":", "\"longest_turn_ms\":"}) {
+      const std::size_t at = line.find(key);
+      if (at != std::string::npos) say(line.substr(at, line.find(',', at) - at));
+    }
+  });
+  const auto takes = [&](Span time) {
+    before_timers(scene, [&clock, time] {
+      for (Span passed{}; passed < time; passed += 1ms) clock.pass();
+    });
+    scene.pass(100ms);
+  };
+  for (const Span time : {15ms, 25ms}) {
+    say("a turn of " + std::to_string(time / 1ms) + " ms, and one for the stand-ins");
+    takes(time);
+    scene.gatherer.report();
+  }
+  scene.gatherer.report();
+  log::tap(nullptr);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
   if (count != 2) return 2;
   log::open(log::Level::error, log::Form::plain, "test");
-  const std::pair<const char*, void (*)()> cases[] = {
-      {"flood_gone", flood_gone},
-      {"list_overdue", list_overdue},
-      {"list_reset", list_reset},
-      {"list_back", list_back},
-      {"list_pushed_reset", list_pushed_reset},
-      {"list_same_turn", list_same_turn},
-      {"list_unreadable_entry", list_unreadable_entry},
-      {"silent_and_draining", silent_and_draining},
-      {"ready_without_list", ready_without_list},
-      {"room_follows_list", room_follows_list},
-      {"client_gone_unread", client_gone_unread},
-      {"client_gone_dialling", client_gone_dialling},
-      {"window_over", window_over},
-      {"client_gone_in_round", client_gone_in_round},
-      {"stop_crossed", stop_crossed},
-      {"stop_in_time", stop_in_time},
-      {"descriptors_taken", descriptors_taken},
-      {"accepted_late", accepted_late}};
+  const std::pair<const char*, void (*)()> cases[] = {{"flood_gone", flood_gone},
+                                                      {"list_overdue", list_overdue},
+                                                      {"list_reset", list_reset},
+                                                      {"list_back", list_back},
+                                                      {"list_pushed_reset", list_pushed_reset},
+                                                      {"list_same_turn", list_same_turn},
+                                                      {"list_unreadable_entry", list_unreadable_entry},
+                                                      {"silent_and_draining", silent_and_draining},
+                                                      {"ready_without_list", ready_without_list},
+                                                      {"room_follows_list", room_follows_list},
+                                                      {"client_gone_unread", client_gone_unread},
+                                                      {"client_gone_dialling", client_gone_dialling},
+                                                      {"window_over", window_over},
+                                                      {"client_gone_in_round", client_gone_in_round},
+                                                      {"stop_crossed", stop_crossed},
+                                                      {"stop_in_time", stop_in_time},
+                                                      {"descriptors_taken", descriptors_taken},
+                                                      {"accepted_late", accepted_late},
+                                                      {"long_turn", long_turn}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
       run();
