A test for requests that come again under the same id

Where the first was read, its client left, and a part is still out (terms without cancelling), the second is turned away with 400 and sent nowhere; that stays: its answers could not be told from the first's, and a part that must not run twice would. The protocol has clients take a fresh id for every request.

--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -581,6 +581,38 @@
   say(clock.steady() - room < 200ms ? "within 0.2 s" : "LATE");
 }
 
+// A request that crossed the end of its connection comes once more on a new one, under the same id: it was never read, so
+// nothing of it is in the way. One whose id still has a part out is turned away and sent nowhere, since its answers could not
+// be told apart, and a part that must not run twice would; after that the id is free.
+void same_id_again() {
+  Leaf leaf(11);
+  SteppedTime clock;
+  Scene scene(entry("A", 11), clock, {{R"("cancel":true)", R"("cancel":false)"}});
+  scene.hosts = {&leaf};
+  Client silent;
+  scene.pass(3s);
+  Client again, leaves, early, later;
+  silent.send("m1", "issue", kOne);
+  scene.until("its end", [&] { return silent.wire.take().empty() && silent.wire.ended; });
+  again.send("m1", "issue", kOne);
+  auto got = scene.next(leaf, "leaf");
+  leaf.answer(got.wire, "m1.1", "S 1 -", "v");
+  scene.answered(again, "once more on a new connection");
+  leaves.send("m2", "issue", kOne);
+  got = scene.next(leaf, "leaf");
+  leaves.wire.fd.close();
+  scene.pass(20ms);
+  early.send("m2", "issue", kOne);
+  scene.answered(early, "while a part of it is out");
+  leaf.answer(got.wire, "m2.1", "S 1 -", "v");
+  scene.pass(20ms);
+  later.send("m2", "issue", kOne);
+  got = scene.next(leaf, "leaf");
+  leaf.answer(got.wire, "m2.1", "S 1 -", "w");
+  scene.answered(later, "after it");
+  say("frames besides: " + std::to_string(leaf.got.size()));
+}
+
 // A turn that takes long is told, with how long; the longest goes into the totals once.
 void long_turn() {
   SteppedTime clock;
@@ -611,25 +643,27 @@
 int main(int count, char** words) {
   if (count != 2) return 2;
   log::open(log::Level::error, log::Form::plain, "test");
-  const std::pair<const char*, void (*)()> cases[] = {{"flood_gone", flood_gone},
-                                                      {"list_overdue", list_overdue},
-                                                      {"list_reset", list_reset},
-                                                      {"list_back", list_back},
-                                                      {"list_pushed_reset", list_pushed_reset},
-                                                      {"list_same_turn", list_same_turn},
-                                                      {"list_unreadable_entry", list_unreadable_entry},
-                                                      {"silent_and_draining", silent_and_draining},
-                                                      {"ready_without_list", ready_without_list},
-                                                      {"room_follows_list", room_follows_list},
-                                                      {"client_gone_unread", client_gone_unread},
-                                                      {"client_gone_dialling", client_gone_dialling},
-                                                      {"window_over", window_over},
-                                                      {"client_gone_in_round", client_gone_in_round},
-                                                      {"stop_crossed", stop_crossed},
-                                                      {"stop_in_time", stop_in_time},
-                                                      {"descriptors_taken", descriptors_taken},
-                                                      {"accepted_late", accepted_late},
-                                                      {"long_turn", long_turn}};
+  const std::pair<const char*, void (*)()> cases[] = {
+      {"flood_gone", flood_gone},
+      {"list_overdue", list_overdue},
+      {"list_reset", list_reset},
+      {"list_back", list_back},
+      {"list_pushed_reset", list_pushed_reset},
+      {"list_same_turn", list_same_turn},
+      {"list_unreadable_entry", list_unreadable_entry},
+      {"silent_and_draining", silent_and_draining},
+      {"ready_without_list", ready_without_list},
+      {"room_follows_list", room_follows_list},
+      {"client_gone_unread", client_gone_unread},
+      {"client_gone_dialling", client_gone_dialling},
+      {"window_over", window_over},
+      {"client_gone_in_round", client_gone_in_round},
+      {"stop_crossed", stop_crossed},
+      {"stop_in_time", stop_in_time},
+      {"descriptors_taken", descriptors_taken},
+      {"accepted_late", accepted_late},
+      {"same_id_again", same_id_again},
+      {"long_turn", long_turn}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
       run();
