A planned stop answers in time what was taken before it under a longer time

Where route timeouts are over 3 s, SIGKILL (3.7 s after the signal at the soonest) found it unanswered: a request that was taken and ends with no answer.

Change: 0.2 s before the soonest end by force the gatherer answers 504 to each multiget whose time is later than that, tells the module that its client has left, and counts it as failed. leave() and turn() are as they were.

Harm: where SIGKILL comes later than it may, some of these could still have been answered.

Measured (stepped time): of nine plays with a request 0.5 s before or 0.2 s after SIGTERM, those before whose first or second step is not answered had no answer 6 s after the signal and the process still ran; the others were answered whole or refused by 3.48 s. crossing_stop_outlasted fails without the mend (answered LATE) and passes with it. 29 tests of crossings, stops, second steps and settings pass (Release).

--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -250,6 +250,7 @@
     const int place = hand_.find(id);
     if (place >= 0 && !hand_.at(place).over) hand_parts(hand_.at(place));
   }
+  if (leave_by_ && loop_.now() >= *leave_by_) fail_what_outlasts_stop();
   for (std::size_t i = 0; i < fronts_.size(); ++i) {
     for (front::Asked& asked : std::exchange(fronts_[i]->asked, {})) take(i, asked);
     for (const std::uint64_t caller : std::exchange(fronts_[i]->left, {})) left(i, caller);
@@ -272,6 +273,27 @@
   give_back(mg);
 }
 
+// What was taken before a planned stop may have a later time than the end by force; the module was told that
+// one, and a client that gets nothing learns of the end from a reset. Harm: where the end by force comes
+// later, some of it could still have been answered.
+void Gatherer::fail_what_outlasts_stop() {
+  const auto all = by_caller_;
+  for (const auto& [caller, id] : all) {
+    InHand& mg = hand_.at(hand_.find(id));
+    if (mg.until <= *leave_by_) continue;
+    by_caller_.erase(caller);
+    mg.caller = 0;
+    over(mg);
+    done_.failed += 1;
+    if (totals::Count* count = counted(mg)) count->failed += 1;
+    log::event(log::Level::debug, "multiget.ended",
+               {{"multiget", mg.wire_id}, {"caller", caller.second}, {"how", "stopped"}});
+    fronts_[caller.first]->refuse(caller.second, front::Refusal::failed, {});
+    choice_.client_left(id);
+    give_back(mg);
+  }
+}
+
 // Nothing is sent for it any more: what still waits for its connection is never written, also where the terms do not let
 // a send be cancelled that was.
 void Gatherer::over(InHand& mg) {
@@ -383,9 +405,9 @@
   held_ += 1;
   log::event(log::Level::debug, "multiget.taken", {{"multiget", mg.wire_id}, {"caller", asked.caller}});
   const Span client_leaves = asked.sent_by + ask.patience;
+  mg.until = leave_by_ ? std::min(client_leaves, *leave_by_) : client_leaves;
   choice_.multiget_taken({id, static_cast<double>(number), ask.op_type, ask.customer,
-                          static_cast<int>(mg.pieces.size()),
-                          leave_by_ ? std::min(client_leaves, *leave_by_) : client_leaves, ask.repeated});
+                          static_cast<int>(mg.pieces.size()), mg.until, ask.repeated});
   hand_parts(mg);
 }
 
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -74,6 +74,7 @@
     std::size_t front = 0;
     std::uint64_t caller = 0;  // 0 once it has its final answer or its client has left
     std::string wire_id;
+    Span until{};         // what the module was told: its final answer comes before
     int second_step = 0;  // by the settings it was taken under, as is the next
     bool once = false;
     int step = 1;
@@ -111,6 +112,7 @@
   void carry_out();
   void take(std::size_t front, front::Asked& asked);
   void left(std::size_t front, std::uint64_t caller);
+  void fail_what_outlasts_stop();
   void hand_parts(InHand& mg);
   void sent_back(servers::Ended& ended);
   void decided(const Verdict& verdict);
--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -118,6 +118,30 @@
   goes_to(scene, a, b, "m2");
 }
 
+// What was taken before a planned stop, with time left beyond the end by force, has its final answer before that, 3.7 s after
+// the signal, also where only its second step is out; what ends in time is answered whole.
+void stop_outlasted() {
+  for (const bool ends : {true, false}) {
+    Leaf leaf(11);
+    SteppedTime clock;
+    Scene scene(entry("A", 11), clock);
+    scene.hosts = {&leaf};
+    Client client;
+    client.send("m", "draft", kOne);
+    auto got = scene.next(leaf, "leaf");
+    const Span told = clock.steady();
+    scene.gatherer.leave();
+    scene.pass(3200ms);
+    leaf.answer(got.wire, "m.1", "S 1 -", "v");
+    got = scene.next(leaf, "leaf");
+    if (ends) leaf.answer(got.wire, "m.1.phase2", "S 1 -", "w");
+    scene.answered(client, "client");
+    say(clock.steady() < told + 3600ms ? "in time" : "LATE");
+    client.wire.fd.close();
+    scene.until("the end", [&] { return !scene.running; });
+  }
+}
+
 // Discovery is away for long and comes back at the worst moment: right after a call that nobody takes up. The next one is
 // made, and its answer read, before 6 s are over.
 void list_back() {
@@ -660,6 +684,7 @@
       {"client_gone_in_round", client_gone_in_round},
       {"stop_crossed", stop_crossed},
       {"stop_in_time", stop_in_time},
+      {"stop_outlasted", stop_outlasted},
       {"descriptors_taken", descriptors_taken},
       {"accepted_late", accepted_late},
       {"same_id_again", same_id_again},
