--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -25,6 +25,8 @@
 constexpr Span kLastAnswers = 200ms;
 // The protocol's limits are so much longer on sockets; that long a send may be under way.
 constexpr Span kSlack = 50ms;
+// Later than that what was due may miss a latency budget; an ordinary turn takes well under a millisecond.
+constexpr Span kLongTurn = 20ms;
 // What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice, a
 // file that is read again.
 constexpr int kOwnDescriptors = 9;
@@ -63,6 +65,9 @@
       watch_(loop_, commission, unix_start_,
              {[this](list::News news) { news_.push_back(std::move(news)); }, [this](Span most_backoff) { refusals_.push_back(most_backoff); }}),
       hand_(static_cast<std::size_t>(commission.carriage.most_in_hand)) {
+  loop_.tell_long_turns(kLongTurn, [this](const net::Loop::Turn& turn) {
+    long_turns_.event({{"ms", turn.took / 1ms}, {"processor_ms", turn.processor / 1ms}, {"in_hand", open_}});
+  });
   choice_.clock(loop_.now());
   if (commission.known.is_object()) {
     list::News known = read_known(commission, unix_start_);
@@ -73,7 +78,8 @@
     choice_.list_closes();
     watch_.held(known.index);
     log::event(log::Level::info, "list.remembered",
-               {{"servers", known.entries.size()}, {"version", known.index}});
+               {{"servers", known.entries.size()}, {"version", known.index}, {"left_out", known.skipped}});
+    done_.unreadable += static_cast<std::uint64_t>(known.skipped);
   }
   if (!commission.carriage.list_is_asked) watch_.ask(true);
 }
@@ -203,6 +209,7 @@
   carry_out();
   choice_.renew(fresh.terms);
   const bool ask_anew = to.zones != from.zones || to.cells != from.cells;
+  if (ask_anew) servers_.renumber_zones(from.zones, to.zones);
   const bool pushed_now = from.list_is_asked && !to.list_is_asked;
   commission_.terms = fresh.terms;
   from = to;
@@ -243,6 +250,7 @@
     const int place = hand_.find(id);
     if (place >= 0 && !hand_.at(place).over) hand_parts(hand_.at(place));
   }
+  if (leave_by_ && loop_.now() >= *leave_by_) fail_what_outlasts_stop();
   for (std::size_t i = 0; i < fronts_.size(); ++i) {
     for (front::Asked& asked : std::exchange(fronts_[i]->asked, {})) take(i, asked);
     for (const std::uint64_t caller : std::exchange(fronts_[i]->left, {})) left(i, caller);
@@ -265,6 +273,27 @@
   give_back(mg);
 }
 
+// What was taken before a planned stop may have a later time than the end by force; the module was told that
+// one, and a client that gets nothing learns of the end from a reset. Harm: where the end by force comes
+// later, some of it could still have been answered.
+void Gatherer::fail_what_outlasts_stop() {
+  const auto all = by_caller_;
+  for (const auto& [caller, id] : all) {
+    InHand& mg = hand_.at(hand_.find(id));
+    if (mg.until <= *leave_by_) continue;
+    by_caller_.erase(caller);
+    mg.caller = 0;
+    over(mg);
+    done_.failed += 1;
+    if (totals::Count* count = counted(mg)) count->failed += 1;
+    log::event(log::Level::debug, "multiget.ended",
+               {{"multiget", mg.wire_id}, {"caller", caller.second}, {"how", "stopped"}});
+    fronts_[caller.first]->refuse(caller.second, front::Refusal::failed, {});
+    choice_.client_left(id);
+    give_back(mg);
+  }
+}
+
 // Nothing is sent for it any more: what still waits for its connection is never written, also where the terms do not let
 // a send be cancelled that was.
 void Gatherer::over(InHand& mg) {
@@ -280,6 +309,16 @@
   servers_.listed(news);
   for (const auto& one : carriers_) one->listed(news);
   choice_.list_opens(news.whole, false);
+  // A whole list says nothing of a server whose entry cannot be read: the module is told again what it was
+  // told last.
+  std::size_t kept = 0;
+  for (const std::string& name : news.unreadable) {
+    const ListRow* const last = news.whole ? servers_.last_row(name) : nullptr;
+    if (last == nullptr) continue;
+    choice_.list_row(*last);
+    kept += 1;
+  }
+  done_.unreadable += static_cast<std::uint64_t>(news.skipped);
   for (const list::Entry& entry : news.entries) {
     choice_.list_row(entry.row);
     log::event(log::Level::debug, "list.server",
@@ -291,8 +330,9 @@
   choice_.list_closes();
   clients_.room(client_room(commission_, servers_.servers_listed()));
   if (!news.entries.empty())
-    log::event(log::Level::info, "list.came",
-               {{"version", news.index}, {"entries", news.entries.size()}, {"whole", news.whole}});
+    log::event(
+        log::Level::info, "list.came",
+        {{"version", news.index}, {"entries", news.entries.size()}, {"whole", news.whole}, {"kept", kept}});
 }
 
 // The module's ids: eight digits of the multiget's number, four zeros, and four of the part's place, 0 for
@@ -365,9 +405,9 @@
   held_ += 1;
   log::event(log::Level::debug, "multiget.taken", {{"multiget", mg.wire_id}, {"caller", asked.caller}});
   const Span client_leaves = asked.sent_by + ask.patience;
+  mg.until = leave_by_ ? std::min(client_leaves, *leave_by_) : client_leaves;
   choice_.multiget_taken({id, static_cast<double>(number), ask.op_type, ask.customer,
-                          static_cast<int>(mg.pieces.size()),
-                          leave_by_ ? std::min(client_leaves, *leave_by_) : client_leaves, ask.repeated});
+                          static_cast<int>(mg.pieces.size()), mg.until, ask.repeated});
   hand_parts(mg);
 }
 
@@ -618,6 +658,7 @@
               {"no_room", done_.no_room},
               {"second_steps", done_.second_steps},
               {"in_hand", open_},
+              {"longest_turn_ms", loop_.take_longest_turn() / 1ms},
               {"calls", t.calls},
               {"sends", t.sends},
               {"probes", t.probes},
@@ -633,6 +674,7 @@
               {"dropped", t.dropped},
               {"expired", t.expired},
               {"servers_known", choice_.servers_known()},
+              {"entries_unreadable", done_.unreadable},
               {"odd_frames", t.odd_frames},
               {"dials", a.dials},
               {"second_choice", a.second_choice},
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -16,6 +16,7 @@
 #include "config/commission.h"
 #include "front/front.h"
 #include "list/watch.h"
+#include "log/log.h"
 #include "model/slab.h"
 #include "net/loop.h"
 #include "operator_file/terms.h"
@@ -73,6 +74,7 @@
     std::size_t front = 0;
     std::uint64_t caller = 0;  // 0 once it has its final answer or its client has left
     std::string wire_id;
+    Span until{};         // what the module was told: its final answer comes before
     int second_step = 0;  // by the settings it was taken under, as is the next
     bool once = false;
     int step = 1;
@@ -99,7 +101,7 @@
 
   struct Taken {
     std::uint64_t sent = 0, answered = 0, pushed_back = 0, failed = 0, left = 0, no_room = 0,
-                  second_steps = 0;
+                  second_steps = 0, unreadable = 0;
   };
 
   Rid part_id(const Rid& multiget, std::size_t piece) const;
@@ -110,6 +112,7 @@
   void carry_out();
   void take(std::size_t front, front::Asked& asked);
   void left(std::size_t front, std::uint64_t caller);
+  void fail_what_outlasts_stop();
   void hand_parts(InHand& mg);
   void sent_back(servers::Ended& ended);
   void decided(const Verdict& verdict);
@@ -150,6 +153,7 @@
   std::optional<Span> leave_by_;  // in a planned stop: when all must be over
   bool accepting_ = true, parting_ = false;
   Taken done_;
+  log::Throttled long_turns_{log::Level::warning, "gatherer.long_turn"};
   std::optional<Record> record_;
 };
 
--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -118,6 +118,30 @@
   goes_to(scene, a, b, "m2");
 }
 
+// What was taken before a planned stop, with time left beyond the end by force, has its final answer before that, 3.7 s after
+// the signal, also where only its second step is out; what ends in time is answered whole.
+void stop_outlasted() {
+  for (const bool ends : {true, false}) {
+    Leaf leaf(11);
+    SteppedTime clock;
+    Scene scene(entry("A", 11), clock);
+    scene.hosts = {&leaf};
+    Client client;
+    client.send("m", "draft", kOne);
+    auto got = scene.next(leaf, "leaf");
+    const Span told = clock.steady();
+    scene.gatherer.leave();
+    scene.pass(3200ms);
+    leaf.answer(got.wire, "m.1", "S 1 -", "v");
+    got = scene.next(leaf, "leaf");
+    if (ends) leaf.answer(got.wire, "m.1.phase2", "S 1 -", "w");
+    scene.answered(client, "client");
+    say(clock.steady() < told + 3600ms ? "in time" : "LATE");
+    client.wire.fd.close();
+    scene.until("the end", [&] { return !scene.running; });
+  }
+}
+
 // Discovery is away for long and comes back at the worst moment: right after a call that nobody takes up. The next one is
 // made, and its answer read, before 6 s are over.
 void list_back() {
@@ -173,6 +197,58 @@
   goes_to(scene, a, b, "m");
 }
 
+// Discovery says this, and then three multigets come.
+void told(Scene& scene, Discovery& discovery, Leaf& a, Leaf& b, int index, const std::string& entries) {
+  scene.until("a call", [&] { return !discovery.asked.empty(); });
+  discovery.asked.clear();
+  discovery.answer(list_of(index, entries));
+  scene.until("its being read", [&] { return !discovery.asked.empty(); });
+  for (const char* one : {"-1", "-2", "-3"}) goes_to(scene, a, b, "m" + std::to_string(index) + one);
+}
+
+// An entry of a whole list that cannot be read leaves its server as it was: up, draining, or unknown, also
+// where the zones were numbered anew meanwhile. Without a name it is nobody's, and its server gone like any
+// that a whole list does not name.
+void list_unreadable_entry() {
+  Leaf a(11), b(12);
+  Discovery discovery(2);
+  SteppedTime clock;
+  Scene scene(entry("A", 11) + "," + entry("B", 12), clock);
+  scene.hosts = {&a, &b, &discovery};
+  const std::string bad_group =
+      R"({"name":"A","address":")" + address(11) + R"(","zone":"a","group":9,"status":"ready"})";
+  const std::string bad_address = R"({"name":"B","address":"nowhere","zone":"a","status":"ready"})";
+  say("A's status cannot be read, B drains");
+  told(scene, discovery, a, b, 5, entry("A", 11, "bogus") + "," + entry("B", 12, "draining"));
+  say("A drains, B is ready");
+  told(scene, discovery, a, b, 6, entry("A", 11, "draining") + "," + entry("B", 12));
+  say("A's group cannot be read, nor can a server's entry that was never known");
+  told(scene, discovery, a, b, 7, bad_group + "," + entry("B", 12) + "," + entry("C", 13, "bogus"));
+  say("A is ready, B gone");
+  told(scene, discovery, a, b, 8, entry("A", 11));
+  say("A is ready, B's address cannot be read: it stays gone");
+  told(scene, discovery, a, b, 9, entry("A", 11) + "," + bad_address);
+  say("A's group cannot be read, while a part is out there, and it is not the first zone any more");
+  Client client;
+  client.send("m", "issue", kOne);
+  const auto out = scene.next(a, "A");
+  discovery.asked.clear();  // another call is made
+  scene.reload({{R"("zones":["a"])", R"("zones":["z","a"])"}});
+  told(scene, discovery, a, b, 10, bad_group);
+  a.answer(out.wire, "m.1", "S 1 -", "v");
+  scene.answered(client, "client");
+  say("an entry without a name, B is ready");
+  told(scene, discovery, a, b, 11, R"({"name":7,"zone":"a","status":"ready"},)" + entry("B", 12));
+  say("A is ready, B drains");
+  told(scene, discovery, a, b, 12, entry("A", 11) + "," + entry("B", 12, "draining"));
+  say("A's zone is no more, and its group cannot be read");
+  discovery.asked.clear();
+  scene.reload({{R"("zones":["a"])", R"("zones":["z"])"}});
+  std::string in_z = entry("B", 12);
+  in_z.replace(in_z.find(R"("zone":"a")"), 10, R"("zone":"z")");
+  told(scene, discovery, a, b, 13, bad_group + "," + in_z);
+}
+
 // All watches fall silent at once, then a quarter of the servers drain and stay up, under traffic; discovery answers
 // whoever asks anew. Nothing is sent to who drains once the grace after it counts as told is over: 2 s after the wait.
 void silent_and_draining() {
@@ -529,6 +605,63 @@
   say(clock.steady() - room < 200ms ? "within 0.2 s" : "LATE");
 }
 
+// A request that crossed the end of its connection comes once more on a new one, under the same id: it was never read, so
+// nothing of it is in the way. One whose id still has a part out is turned away and sent nowhere, since its answers could not
+// be told apart, and a part that must not run twice would; after that the id is free.
+void same_id_again() {
+  Leaf leaf(11);
+  SteppedTime clock;
+  Scene scene(entry("A", 11), clock, {{R"("cancel":true)", R"("cancel":false)"}});
+  scene.hosts = {&leaf};
+  Client silent;
+  scene.pass(3s);
+  Client again, leaves, early, later;
+  silent.send("m1", "issue", kOne);
+  scene.until("its end", [&] { return silent.wire.take().empty() && silent.wire.ended; });
+  again.send("m1", "issue", kOne);
+  auto got = scene.next(leaf, "leaf");
+  leaf.answer(got.wire, "m1.1", "S 1 -", "v");
+  scene.answered(again, "once more on a new connection");
+  leaves.send("m2", "issue", kOne);
+  got = scene.next(leaf, "leaf");
+  leaves.wire.fd.close();
+  scene.pass(20ms);
+  early.send("m2", "issue", kOne);
+  scene.answered(early, "while a part of it is out");
+  leaf.answer(got.wire, "m2.1", "S 1 -", "v");
+  scene.pass(20ms);
+  later.send("m2", "issue", kOne);
+  got = scene.next(leaf, "leaf");
+  leaf.answer(got.wire, "m2.1", "S 1 -", "w");
+  scene.answered(later, "after it");
+  say("frames besides: " + std::to_string(leaf.got.size()));
+}
+
+// A turn that takes long is told, with how long; the longest goes into the totals once.
+void long_turn() {
+  SteppedTime clock;
+  Scene scene(entry("A", 11), clock);
+  log::tap([](const std::string& line) {
+    for (const char* key : {"\"ms\":", "\"longest_turn_ms\":"}) {
+      const std::size_t at = line.find(key);
+      if (at != std::string::npos) say(line.substr(at, line.find(',', at) - at));
+    }
+  });
+  const auto takes = [&](Span time) {
+    before_timers(scene, [&clock, time] {
+      for (Span passed{}; passed < time; passed += 1ms) clock.pass();
+    });
+    scene.pass(100ms);
+  };
+  for (const Span time : {15ms, 25ms}) {
+    say("a turn of " + std::to_string(time / 1ms) + " ms, and one for the stand-ins");
+    takes(time);
+    scene.gatherer.report();
+  }
+  scene.gatherer.report();
+  log::tap(nullptr);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -541,6 +674,7 @@
       {"list_back", list_back},
       {"list_pushed_reset", list_pushed_reset},
       {"list_same_turn", list_same_turn},
+      {"list_unreadable_entry", list_unreadable_entry},
       {"silent_and_draining", silent_and_draining},
       {"ready_without_list", ready_without_list},
       {"room_follows_list", room_follows_list},
@@ -550,8 +684,11 @@
       {"client_gone_in_round", client_gone_in_round},
       {"stop_crossed", stop_crossed},
       {"stop_in_time", stop_in_time},
+      {"stop_outlasted", stop_outlasted},
       {"descriptors_taken", descriptors_taken},
-      {"accepted_late", accepted_late}};
+      {"accepted_late", accepted_late},
+      {"same_id_again", same_id_again},
+      {"long_turn", long_turn}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
       run();
