Clients that find no place are refused, never reset unread; a stop empties its queue

Cause: with every place holding a request in hand make_room() closed, hard, who had only just come, whose request lay unread in the kernel; by the protocol it is taken then, and was lost. Evictions of idle connections did not look at what had come either. At a planned stop Clients::stop_accepting() ended at the place limit and on EMFILE, and what was queued was reset with the listener.

Change: eight of the clients' descriptors are held back, open; who finds no place is accepted on one, read and refused at once (503, Retry-After where the settings allow, Connection: close), counted in refused_at_door. Who goes for another is decided in clients/eviction (no I/O); it is read first and ended in order. A silent connection yields its place to one that has asked. The listener of one's own closes 0.2 s later and only when nobody waits; a shared one as before.

crossing_accepted_late said that a client waits where no descriptor is left; it is now taken in at once on one held back. Replaced: these are taken by silent ones first, and who waits is served without being told of again, nobody cut.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <optional>
 #include <system_error>
+#include <utility>
 
 #include "log/log.h"
 
@@ -17,7 +19,13 @@
 // By the protocol a connection without a request may be closed after this, and who connects is owed an error
 // or a close within a second more.
 constexpr Span kMayClose = 2s;
-constexpr Span kSweep = 100ms;                       // how often these are looked at
+constexpr Span kSweep = 100ms;  // how often these are looked at
+// After the last moment at which clients connect in a planned stop the listener stays open so much longer: a
+// connect may come up late, and one that comes up as the listener closes is reset.
+constexpr Span kLateConnects = 200ms;
+// The advice given at the door, where the terms allow one: about as long as requests in hand keep their
+// places.
+constexpr Span kComeBackToDoor = 500ms;
 constexpr std::size_t kMostDropped = 4 * kMostBody;  // of what still comes after the last answer
 
 }  // namespace
@@ -33,6 +41,8 @@
   bool answering = false;  // an answer is being written, or this turn has written it
   bool stays = true;
   bool parting = false;  // answered for the last time; what still comes is dropped until the client closes
+  bool at_door = false;  // accepted without a place: its request is refused
+  bool aside = false;    // holds no place
   std::size_t dropped = 0;
 };
 
@@ -40,14 +50,17 @@
                  std::size_t most, net::Descriptor listening)
     : loop_(loop),
       carriage_(carriage),
+      shared_(static_cast<bool>(listening)),
       listener_(listening ? std::move(listening) : net::listen_on(listen)),
-      most_(most) {
+      most_(most),
+      held_back_(std::min(kHeldBack, most / 4)),
+      spare_(held_back_) {
   if (!listener_) throw std::system_error(errno, std::generic_category(), "listen");
   place_ = loop_.watch(listener_.get(), *this);
   sweep();
 }
 
-Clients::~Clients() { stop_accepting(); }
+Clients::~Clients() { shut(); }
 
 void Clients::ready(bool, bool) { accept(); }
 
@@ -59,34 +72,118 @@
       loop_.at(loop_.now(), [this] { accept(); });
       return true;
     }
-    if (callers_.size() >= most_ && !make_room()) {
-      more_to_accept_ = true;  // taken up again when a connection ends
-      return false;
+    switch (accept_one()) {
+      case Accepted::one:
+        continue;
+      case Accepted::nobody:
+        return false;
+      case Accepted::no_room:
+        accept_later();
+        return false;
     }
-    net::Descriptor fd = net::accept_from(listener_.get());
-    if (!fd) {
-      if (errno == EINTR || errno == ECONNABORTED) continue;
-      if (errno == EAGAIN || errno == EWOULDBLOCK) return false;
-      const int why = errno;
-      if (why == EMFILE || why == ENFILE) {
-        if (!net::anybody_waits(listener_.get())) return false;  // so nobody has to go for it
-        if (make_room()) continue;
-      }
-      more_to_accept_ = true;
-      static log::Throttled throttled(log::Level::warning, "client.not_accepted");
-      throttled.event({{"why", std::generic_category().message(why)}});
-      return false;
+  }
+  return false;
+}
+
+// Nobody is ended, and no descriptor is lent, unless somebody waits for it.
+Clients::Accepted Clients::accept_one() {
+  const bool no_place = in_places() >= places();
+  if ((no_place || no_descriptor()) && !net::anybody_waits(listener_.get())) return Accepted::nobody;
+  bool at_door = no_place && !free_place();
+  if (no_descriptor() && !spare_.lend() && !free_descriptor([](const Caller& one) { return one.aside; }))
+    return Accepted::no_room;
+  net::Descriptor fd = net::accept_from(listener_.get());
+  if (!fd && (errno == EMFILE || errno == ENFILE)) fd = accept_without_descriptors(at_door);
+  if (fd) {
+    greet(std::move(fd), at_door);
+    return Accepted::one;
+  }
+  if (errno == EINTR || errno == ECONNABORTED) return Accepted::one;
+  return errno == EAGAIN || errno == EWOULDBLOCK ? Accepted::nobody : Accepted::no_room;
+}
+
+// The process has no descriptor left, though there may be places: servers may hold them. One that can be
+// spared makes room; else it is lent for a refusal.
+net::Descriptor Clients::accept_without_descriptors(bool& at_door) {
+  if (!net::anybody_waits(listener_.get())) {
+    errno = EAGAIN;
+    return {};
+  }
+  if (!make_room()) {
+    at_door = true;
+    if (!spare_.lend()) {
+      errno = EMFILE;
+      return {};
     }
-    auto made = std::make_unique<Caller>();
-    Caller* const caller = made.get();
-    caller->number = next_caller_++;
-    caller->since = loop_.now();
-    tally_.accepted += 1;
-    callers_.emplace(caller->number, std::move(made));
-    caller->stream = std::make_unique<net::Stream>(
-        loop_, std::move(fd), true, kMostBody, kMostAnswer,
-        net::Stream::Told{nullptr, [this, caller] { arrived(*caller); }, [this, caller] { drained(*caller); },
-                          [this, caller](bool) { close(*caller); }});
+  }
+  return net::accept_from(listener_.get());
+}
+
+void Clients::greet(net::Descriptor fd, bool at_door) {
+  auto made = std::make_unique<Caller>();
+  Caller* const caller = made.get();
+  caller->number = next_caller_++;
+  caller->since = loop_.now();
+  caller->at_door = at_door;
+  tally_.accepted += 1;
+  callers_.emplace(caller->number, std::move(made));
+  if (at_door) set_aside(*caller);
+  caller->stream = std::make_unique<net::Stream>(
+      loop_, std::move(fd), true, kMostBody, kMostAnswer,
+      net::Stream::Told{nullptr, [this, caller] { arrived(*caller); }, [this, caller] { drained(*caller); },
+                        [this, caller](bool) { close(*caller); }});
+  // Refused in this same turn where it has asked already, so that the next one finds the descriptor free.
+  if (at_door) caller->stream->read_now();
+}
+
+// Tried again when a connection ends, when one at the door has had its time to ask, and by sweep().
+void Clients::accept_later() {
+  more_to_accept_ = true;
+  static log::Throttled throttled(log::Level::warning, "client.not_accepted");
+  throttled.event(
+      {{"why", no_descriptor() ? "no place and no descriptor held back is free" : "no descriptor is left"}});
+  if (std::exchange(accept_due_, true)) return;
+  loop_.at(loop_.now() + kTimeToAsk, [this] {
+    accept_due_ = false;
+    accept();
+  });
+}
+
+// What was lent is held back again as soon as it can be; false: there is no descriptor to be had.
+bool Clients::refill() {
+  while (spare_.held() < held_back_ && !no_descriptor()) {
+    if (!spare_.take_back()) return false;
+  }
+  return true;
+}
+
+void Clients::set_aside(Caller& caller) {
+  if (!std::exchange(caller.aside, true)) aside_ += 1;
+}
+
+// Whether its request can be taken: one at the door has a place if one has become free before it asked, or
+// that of a connection that says nothing, which goes to the door in its stead.
+bool Clients::has_place(Caller& caller) {
+  if (!caller.at_door) return true;
+  const bool free = in_places() < places() && refill();
+  if (!free && !silent_to_door()) return false;
+  if (in_places() >= places()) return false;  // who was read meanwhile may have taken it
+  caller.at_door = caller.aside = false;
+  aside_ -= 1;
+  return true;
+}
+
+// The oldest first; each is read before, as its request may have come and not been told of.
+bool Clients::silent_to_door() {
+  for (auto at = callers_.begin(); at != callers_.end();) {
+    Caller& caller = *(at++)->second;
+    if (caller.aside || activity(caller) != Activity::silent) continue;
+    caller.stream->read_now();
+    if (caller.stream->closed()) return true;
+    if (activity(caller) != Activity::silent) continue;
+    caller.at_door = true;
+    set_aside(caller);
+    return true;
   }
   return false;
 }
@@ -117,7 +214,8 @@
 void Clients::request(Caller& caller) {
   caller.in_hand = true;
   const net::HttpMessage& message = caller.reader.message();
-  caller.stays = message.stays();
+  const bool has_a_place = has_place(caller);
+  caller.stays = message.stays() && has_a_place;
   const std::string path = message.second.substr(0, message.second.find('?'));
   if (path == "/healthz") {
     if (message.first != "GET") return turn_away(caller.number, 405, "only GET is answered here\n");
@@ -132,6 +230,7 @@
     throttled.event({{"status", complaint->status}, {"why", complaint->why}});
     return turn_away(caller.number, complaint->status, complaint->why + "\n");
   }
+  if (!has_a_place) return refuse_at_door(caller);
   asked.push_back({caller.number, std::move(std::get<Ask>(read)), caller.first_byte});
 }
 
@@ -197,6 +296,7 @@
 // first and the client has the time that a connection may take to come up to end as well.
 void Clients::part(Caller& caller) {
   caller.parting = true;
+  set_aside(caller);
   caller.since = loop_.now();
   caller.stream->in().clear();
   caller.stream->finish();
@@ -214,7 +314,10 @@
     Caller& caller = *(at++)->second;
     if (caller.in_hand) continue;
     if (caller.parting) {
-      if (now >= caller.since + carriage_.connect_timeout) close(caller);
+      if (now >= caller.since + carriage_.connect_timeout) {
+        caller.stream->read_now();
+        close(caller);
+      }
     } else if (caller.answering) {
       if (now >= caller.since + carriage_.longest_timeout) close(caller);
     } else if (caller.reader.begun()) {
@@ -236,7 +339,8 @@
     tally_.let_go += most;
     for (std::size_t i = 0; i < most; ++i) part(*idle[i]);
   }
-  // What was short may have been given back by somebody else than a client, and of who waits already nothing is told again.
+  // What was short may have been given back by somebody else than a client, and of who waits already nothing
+  // is told again.
   if (more_to_accept_) accept();
   loop_.at(now + kSweep, [this] { sweep(); });
 }
@@ -252,6 +356,7 @@
   const auto at = callers_.find(caller.number);
   if (at == callers_.end()) return;
   if (caller.in_hand) left.push_back(caller.number);
+  if (caller.aside) aside_ -= 1;
   graves_.push_back(std::move(at->second));
   callers_.erase(at);
   if (more_to_accept_) {
@@ -261,43 +366,123 @@
   }
 }
 
-// Ends the connection that can best be spared: one that has had its last answer, one that has said nothing
-// for as long as a connection may take to come up, one between requests, one whose request is still coming
-// in, and at last one that has only just come; of each, the one that has been so longest.
-bool Clients::make_room() {
-  Caller* best = nullptr;
-  const auto spared = [this](const Caller& caller) {
-    const bool fresh = loop_.now() < caller.since + carriage_.connect_timeout;
-    const int order = caller.parting ? 0 : !caller.spoken ? (fresh ? 4 : 1) : caller.reader.begun() ? 3 : 2;
-    return std::make_pair(order, caller.since);
-  };
+Activity Clients::activity(const Caller& caller) const {
+  if (caller.in_hand || caller.answering) return Activity::busy;
+  if (caller.parting) return Activity::closing;
+  if (caller.reader.begun()) return Activity::receiving;
+  return caller.spoken ? Activity::idle : Activity::silent;
+}
+
+// Among these the one that can best be spared; null: none can.
+Clients::Caller* Clients::first_to_go(bool (*among)(const Caller&)) const {
+  Caller* first = nullptr;
+  std::optional<EvictionRank> least;
   for (const auto& [number, caller] : callers_) {
-    if (caller->in_hand || caller->answering) continue;
-    if (best == nullptr || spared(*caller) < spared(*best)) best = caller.get();
+    if (!among(*caller)) continue;
+    const Activity doing = activity(*caller);
+    const Span since = doing == Activity::receiving ? caller->first_byte : caller->since;
+    const auto rank = eviction_rank(doing, since, loop_.now(), carriage_.connect_timeout);
+    if (!rank || (least && *least <= *rank)) continue;
+    least = rank;
+    first = caller.get();
   }
-  if (best == nullptr) return false;
+  return first;
+}
+
+// Reads first what has come and was not told of yet: false, it has asked after all. Whose request may be on
+// its way is refused; between requests the client sends the next one anew, by the protocol. It is then
+// closing, or closed.
+bool Clients::dismiss(Caller& caller) {
+  const Activity before = activity(caller);
+  caller.stream->read_now();
+  if (caller.stream->closed() || caller.parting) return true;
+  if (activity(caller) != before) return false;
   tally_.evicted += 1;
-  close(*best);
-  return true;
+  if (before == Activity::idle) {
+    part(caller);
+  } else {
+    refuse_unasked(caller);
+  }
+  return caller.stream->closed() || caller.parting;
+}
+
+// For a connection that has come: the first to go is ended in order. Who is aside already has no place to
+// give.
+bool Clients::free_place() {
+  while (Caller* const first = first_to_go([](const Caller& one) { return !one.aside; })) {
+    if (dismiss(*first)) return true;
+  }
+  return false;
+}
+
+// Ends one of these at once. All that it sent has been read and its own end has been sent, so nothing is
+// reset.
+bool Clients::free_descriptor(bool (*among)(const Caller&)) {
+  while (Caller* const first = first_to_go(among)) {
+    if (!dismiss(*first)) continue;
+    if (!first->stream->closed()) close(*first);
+    return true;
+  }
+  return false;
 }
 
-void Clients::bury() { graves_.clear(); }
+bool Clients::make_room() {
+  return free_descriptor([](const Caller&) { return true; });
+}
+
+// A refusal before the request is whole: the client reads it as the answer to what it is sending.
+void Clients::refuse_unasked(Caller& caller) {
+  caller.in_hand = true;
+  say(caller, answer_text(503, "no room\n", false, std::min(kComeBackToDoor, carriage_.most_retry_after)),
+      false);
+}
+
+void Clients::refuse_at_door(Caller& caller) {
+  tally_.refused_at_door += 1;
+  say(caller, answer_text(503, "no room\n", false, std::min(kComeBackToDoor, carriage_.most_retry_after)),
+      false);
+}
+
+void Clients::bury() {
+  graves_.clear();
+  refill();
+}
 
 void Clients::leave() { leaving_ = true; }
 
 void Clients::part_with_all() { parting_ = true; }
 
+// What the kernel has accepted is reset when its listener closes. So this one stays open for a while longer
+// than the protocol lets clients connect, and until nobody waits any more. Who waits in a queue that others
+// accept from waits for them.
 void Clients::stop_accepting() {
   if (!listener_) return;
+  if (!shared_) {
+    loop_.at(loop_.now() + kLateConnects, [this] { shut_when_nobody_waits(); });
+    return;
+  }
   while (accept()) {
   }
+  shut();
+}
+
+void Clients::shut_when_nobody_waits() {
+  while (accept()) {
+  }
+  if (!listener_ || !net::anybody_waits(listener_.get())) return shut();
+  loop_.at(loop_.now() + kTimeToAsk, [this] { shut_when_nobody_waits(); });
+}
+
+void Clients::shut() {
+  if (!listener_) return;
   loop_.forget(listener_.get(), place_);
   listener_.close();
 }
 
-// A request may be under way on any of these, and a close over unread bytes would reset the connection: so each is ended
-// in order, and what still comes is dropped, for the client to send anew elsewhere. Who has only just come is about to
-// ask for the first time; half a request from before then would keep a planned stop from its end.
+// A request may be under way on any of these, and a close over unread bytes would reset the connection: so
+// each is ended in order, and what still comes is dropped, for the client to send anew elsewhere. Who has
+// only just come is about to ask for the first time; half a request from before then would keep a planned
+// stop from its end.
 void Clients::close_idle(Span since) {
   for (auto at = callers_.begin(); at != callers_.end();) {
     Caller& caller = *(at++)->second;
--- a/src/config/commission.cpp
+++ b/src/config/commission.cpp
@@ -45,6 +45,7 @@
   }
   Span time(const std::string& name) const { return Span(static_cast<std::int64_t>(number(name, 1, 1e12))); }
   bool has(const std::string& name) const { return contract_.has(name); }
+  bool flag(const std::string& name) const { return contract_.flag(name, false); }
   std::string word(const std::string& name) const {
     if (!contract_.has(name)) Contract::refuse(name, "missing");
     return contract_.word(name, "");
@@ -98,6 +99,8 @@
   out.tick = read.has("tick") ? read.time("tick") : Span(5ms);
   out.connect_timeout = read.time("limits.connect-timeout");
   out.idle = read.time("limits.conn-idle");
+  if (read.flag("limits.retry-after") && read.has("limits.max-retry-after"))
+    out.most_retry_after = read.time("limits.max-retry-after");
   out.list_is_asked = read.has("registry-mode") && read.word("registry-mode") == "ask";
   out.ask_every = read.has("contract.ask-every") ? read.time("contract.ask-every") : Span(20s);
   return out;
--- a/src/config/commission.h
+++ b/src/config/commission.h
@@ -39,6 +39,7 @@
   Span tick{};             // what happened less than this apart may be seen in another order
   Span connect_timeout{};
   Span idle{};
+  Span most_retry_after{};     // the longest advice a refusal may carry; zero: it carries none
   Span ask_every{};            // how long the list may go unasked
   bool list_is_asked = false;  // the module decides when; else it is watched from the start
 };
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -65,7 +65,7 @@
   virtual void close_idle(Span since) = 0;
 
   virtual bool make_room() = 0;  // ends the connection that can best be spared
-  virtual bool empty() const = 0;
+  virtual bool empty() const = 0;  // no client is connected; in a planned stop also: none can come any more
   virtual std::size_t size() const = 0;
   virtual void bury() = 0;  // frees what has ended; not while it may still be told of it
 
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -627,6 +627,7 @@
               {"accepted", c.accepted},
               {"let_go", c.let_go},
               {"evicted", c.evicted},
+              {"refused_at_door", c.refused_at_door},
               {"silent", c.silent},
               {"not_ended", c.unended},
               {"not_connected", t.dial_failed},
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -131,6 +131,11 @@
   }
 }
 
+void Stream::read_now() {
+  left_unread_ = connected_;
+  read_on();
+}
+
 // With the ring full the end is behind bytes that nobody reads before the owner has done with those before them, which may
 // take as long as an answer: the peer has gone all the same.
 void Stream::hung_up() {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -40,10 +40,11 @@
   bool closed() const { return !fd_; }
   bool was_reset() const { return reset_; }  // it ended otherwise than by the peer's orderly close
 
-  void flush();    // writes what the socket takes; tells drained once all is out
-  void read_on();  // reads after the owner had left the ring full
-  void close();    // at once, without being told
-  void finish();   // no more from this side; what the peer still sends is dropped
+  void flush();     // writes what the socket takes; tells drained once all is out
+  void read_on();   // reads after the owner had left the ring full
+  void read_now();  // reads what has come, whether or not the loop has told of it yet
+  void close();     // at once, without being told
+  void finish();    // no more from this side; what the peer still sends is dropped
 
   void ready(bool readable, bool writable) override;
   void hung_up() override;
--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -498,8 +498,9 @@
   asked(scene, discovery, clock.steady());
 }
 
-// No descriptor is left for a client that comes, none of ours can be given up for it, and none of ours ends: it is taken in
-// as soon as there is one, though nothing is told of it again.
+// The process has no descriptor left, and those held back for refusals are with clients that have only just come and say
+// nothing: who comes next is taken in as soon as these have had their time to ask, though nothing is told of it again and
+// nobody ends. All of them are refused or answered, none is reset.
 void accepted_late() {
   SteppedTime clock;
   Scene scene(entry("A", 11), clock);
@@ -510,6 +511,7 @@
     scene.answered(before, "a client before");
   }
   scene.pass(10ms);
+  std::list<Client> silent(clients::kHeldBack);
   Client client;
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
@@ -521,12 +523,18 @@
   std::list<net::Descriptor> ballast;
   for (int fd; (fd = dup(0)) >= 0;) ballast.emplace_back(fd);
   client.wire.put("GET /healthz HTTP/1.1\r\n\r\n");
-  scene.pass(500ms);
+  scene.pass(20ms);
   say(client.answered() ? "ANSWERED ALREADY" : "waits");
-  ballast.clear();
   const Span room = clock.steady();
   scene.answered(client, "client");
   say(clock.steady() - room < 200ms ? "within 0.2 s" : "LATE");
+  ballast.clear();
+  scene.until("the end of those who said nothing", [&] {
+    return std::all_of(silent.begin(), silent.end(), [](Client& one) { return one.answered() || one.wire.ended; });
+  });
+  say(std::none_of(silent.begin(), silent.end(), [](const Client& one) { return one.wire.cut; })
+          ? "none of the silent ones is cut"
+          : "CUT");
 }
 
 }  // namespace
