Distribution: publisher and receiver, decided without I/O

A control node's side of a long poll (spacing, bounded waits, receivers heard of, when a revision is in force everywhere) and a receiver's side (which node, when it turns to another one, which revision is applied). Both are told the time's events by their host.

--- a/src/distribution/publisher.h
+++ b/src/distribution/publisher.h
@@ -7,7 +7,9 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "distribution/revision.h"
@@ -19,16 +21,26 @@
 inline constexpr Span kLongestWait{10'000'000};        // of a call
 inline constexpr Span kRevisionSpacing{500'000};       // a receiver is given no two revisions within this
 inline constexpr Span kReceiverForgotten{60'000'000};  // one not heard of for so long
+// One not heard of for so long is cut off, or calls another node: two calls of a receiver with their
+// patience.
+inline constexpr Span kReceiverAbsent{8'000'000};
+
+// Who calls. A control node that follows this one is given the newest revision whatever its share, and is not
+// counted among the receivers.
+enum class CallerRole { receiver, node };
 
 struct WatchCall {
-  std::string receiver, zone;
-  std::int64_t index = 0;    // in force at the receiver
-  std::string digest;        // of that revision
-  std::int64_t refused = 0;  // the newest revision that it refused; 0: none
-  std::string refused_why;   // names the key, at most 200 characters
+  CallerRole role = CallerRole::receiver;
+  std::string receiver, zone;  // names: letters, digits and ._:- , 64 characters at most
+  std::int64_t index = 0;      // in force at the receiver
+  std::string digest;          // of that revision
+  std::int64_t refused = 0;    // the newest revision that it refused; 0: none
+  std::string refused_why;     // names the key, at most 200 characters; a longer one is cut
   Span wait{};
 };
-// The query of GET /v1/configuration. read throws config::BadInput naming the field.
+inline constexpr std::size_t kMostName = 64;
+inline constexpr std::size_t kMostRefusedWhy = 200;
+// The target of GET /v1/configuration with its query. read throws config::BadInput naming the field.
 std::string query_of(const WatchCall& call);
 WatchCall read_watch_call(const std::string& target);
 
@@ -53,8 +65,9 @@
   std::string digest;
   std::map<std::int64_t, std::size_t> receivers_by_index;
   std::vector<std::pair<std::string, ReceiverState>> refusing;  // of the newest, 64 at most
-  std::optional<Span>
-      everywhere_after;  // from learning the newest until all known receivers it is meant for ran it
+  // From learning the newest until all receivers that it is meant for ran it, of those heard within
+  // kReceiverAbsent.
+  std::optional<Span> everywhere_after;
   std::uint64_t calls = 0, revisions_given = 0, bytes_given = 0;
 };
 
@@ -73,9 +86,36 @@
   std::optional<Due> next();          // answers that are due
   std::optional<Span> wakes() const;  // when tick() is needed next
   Summary summary() const;
+  const std::map<std::string, ReceiverState>& receivers() const { return receivers_; }
+  std::size_t waiting() const { return waiting_.size(); }  // calls that are not answered yet
 
  private:
-  // Chosen by the implementer.
+  struct Waiting {
+    WatchCall call;
+    Span until{};  // the end of its wait
+    Span look{};   // its entry in agenda_
+  };
+
+  const Revision* revision_for(const WatchCall& call) const;
+  Span free_from(const WatchCall& call) const;
+  void consider(Caller caller, Waiting& waiting);
+  void answer(Caller caller, const Waiting& waiting, const Revision* revision);
+  void heard(const WatchCall& call);
+  void look_whether_everywhere();
+  void forget();
+
+  Span now_{};
+  std::optional<Revision> newest_;
+  // Before the newest, where that is for a share only: what the others are to run. Not kept over a restart.
+  std::optional<Revision> for_all_;
+  Span learned_{};  // when the newest was
+  std::optional<Span> everywhere_after_;
+  Span forgot_{};  // when the receivers were last gone through
+  std::map<Caller, Waiting> waiting_;
+  std::set<std::pair<Span, Caller>> agenda_;  // when each waiting call is looked at next
+  std::map<std::string, ReceiverState> receivers_;
+  std::deque<Due> due_;
+  std::uint64_t calls_ = 0, revisions_given_ = 0, bytes_given_ = 0;
 };
 
 }  // namespace marbledyke::distribution
--- a/src/distribution/receiver.h
+++ b/src/distribution/receiver.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <random>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,8 +19,14 @@
 
 inline constexpr Span kCallWait{3'000'000};      // a call that nothing new ends is answered after this
 inline constexpr Span kCallPatience{1'000'000};  // beyond its wait; then the node counts as silent
-inline constexpr Span kFirstRetry{100'000};      // doubled with each failure in a row, jittered
-inline constexpr Span kLongestRetry{2'000'000};
+// The mean wait after a failure, doubled with each failure in a row; drawn from zero to twice the mean.
+inline constexpr Span kFirstRetry{100'000};
+inline constexpr Span kLongestRetry{2'000'000};  // that is drawn
+// Between an answer without news and the next call: a node that does not wait is not called faster than this.
+inline constexpr Span kPause{50'000};
+// At another node than its first choice until it tries one that it prefers; doubled while those are away.
+inline constexpr Span kFirstReturn{30'000'000};
+inline constexpr Span kLongestReturn{240'000'000};
 
 enum class ReceiverPhase { resting, calling, applying };
 enum class ReceiverEvent { rested, answered, failed, silent, applied, refused };
@@ -43,7 +50,9 @@
  public:
   struct Identity {
     std::string name, zone, fleet;
+    CallerRole role = CallerRole::receiver;
   };
+  // older: revisions that were offered though a newer one is held; none of them is applied.
   struct Tally {
     std::uint64_t calls = 0, failures = 0, node_changes = 0, applied = 0, refused = 0, wrong_digest = 0,
                   older = 0;
@@ -57,18 +66,56 @@
   std::optional<ReceiverAct> next();
   void rested();
   void answered(const WatchAnswer& answer);
-  void failed(const std::string& why);  // refused, reset, an answer that cannot be read, a wrong digest
+  void failed(const std::string& why);  // refused, reset, an answer that cannot be read
   void silent();                        // no answer within the call's patience
   void applied();
   void refused(const std::string& why);  // by the gatherer's own rules; what is held stays in force
 
-  const std::optional<Revision>& held() const;
-  std::size_t node() const;  // that it watches or will watch next
-  const Tally& tally() const;
-  std::uint64_t impossible() const;  // an event came that cannot come in that phase
+  const std::optional<Revision>& held() const { return held_; }
+  ReceiverPhase phase() const { return phase_; }
+  std::size_t node() const { return order_.at(place_); }  // that it watches or will watch next
+  const std::string& last_failure() const { return last_failure_; }
+  const Tally& tally() const { return tally_; }
+  std::uint64_t impossible() const { return impossible_; }  // an event came that cannot come in that phase
 
  private:
-  // Chosen by the implementer; the phases are a table of phase and event.
+  bool takes(ReceiverEvent event);
+  Span jittered(Span least, Span most);
+  void rest(Span wait);
+  void call();
+  void call_after_probe();
+  void offered(const Revision& revision);
+  void nothing_new(const WatchAnswer& answer);
+  void node_failed(const std::string& why);
+  void move_to(std::size_t place);
+  void plan_return();
+  bool return_is_due() const;
+  void begin_return();
+
+  Identity identity_;
+  std::mt19937 chance_;
+  std::vector<std::size_t> order_;  // the nodes, its first choice first
+  std::size_t place_ = 0;           // in order_
+  ReceiverPhase phase_ = ReceiverPhase::resting;
+  std::deque<ReceiverAct> acts_;
+  std::optional<Revision> held_;
+  std::optional<Revision> offered_;  // while it is being applied
+  std::int64_t refused_ = 0;
+  std::string refused_why_;
+  int failures_in_a_row_ = 0;
+  bool probing_ = true;       // the call that is out or comes next does not wait: is that node there?
+  bool node_behind_ = false;  // its last answer named an older revision than held_
+  // Returning to a node that it prefers: counted in the time of its own calls and rests.
+  Span away_{};          // at nodes beyond its first choice, since the last try
+  Span return_after_{};  // how long it stays away until the next try
+  Span return_wait_ = kFirstReturn;
+  std::size_t returns_ = 0;               // tries without success
+  std::optional<std::size_t> came_from_;  // while it tries: the place to go back to
+  std::string last_failure_;
+  Tally tally_;
+  std::uint64_t impossible_ = 0;
 };
 
+const char* name_of(ReceiverPhase phase);
+
 }  // namespace marbledyke::distribution
