Distribution: revisions and the acceptor of single-decree Paxos for each index

A Prepare names the fleet, so that a node of another fleet refuses before anything is accepted. Settings stand in messages as objects: as text within text 48 KiB could pass a message's 64 KiB. Settings deeper than 32 levels are refused.

--- a/src/distribution/acceptor.h
+++ b/src/distribution/acceptor.h
@@ -7,12 +7,14 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "distribution/revision.h"
 
 namespace marbledyke::distribution {
 
 // Orders the attempts of all proposers. Round 0 is below every attempt.
+inline constexpr std::int64_t kHighestRound = 1'000'000'000;  // a message with a higher one is damaged
 struct Ballot {
   std::int64_t round = 0;
   std::string proposer;
@@ -28,9 +30,10 @@
 };
 
 // `chosen`: the newest revision the proposer knows to be agreed, which the acceptor learns first; the attempt
-// is for the index after it.
+// is for the index after it. `fleet`: empty where the proposer does not know it yet.
 struct Prepare {
   Ballot ballot;
+  std::string fleet;
   std::optional<Revision> chosen;
 };
 struct Accept {
@@ -40,7 +43,7 @@
 };
 
 enum class ReplyKind {
-  promised,  // or accepted, by what was asked
+  promised,  // or accepted: then accepted_ballot is the ballot asked for
   outbid,    // a higher ballot was promised; `promised` names it
   outdated,  // that index is agreed already; `chosen` is newer than the proposer's
   behind,    // the acceptor lacks the revision before it and was not given it
@@ -50,8 +53,8 @@
   ReplyKind kind = ReplyKind::refused;
   Ballot promised;
   Ballot accepted_ballot;
-  std::optional<Revision> accepted;  // with a promise: what was accepted before
-  std::optional<Revision> chosen;    // where it is newer than the proposer's
+  std::optional<Revision> accepted;  // with a promise: what was accepted before, by accepted_ballot
+  std::optional<Revision> chosen;    // where it is newer than the proposer's, or of that index
   std::string why;                   // of a refusal
 };
 
@@ -65,16 +68,16 @@
   explicit Acceptor(std::string fleet) : fleet_(std::move(fleet)) {}
   Step prepare(const AcceptorState& state, const Prepare& message) const;
   Step accept(const AcceptorState& state, const Accept& message) const;
-  // A revision that is said to be agreed. Older ones change nothing; one of the same index and another digest
-  // is refused.
+  // A revision that is said to be agreed. Older ones change nothing and are told `outdated`; one of the same
+  // index and another digest is refused.
   Step learn(const AcceptorState& state, const Revision& chosen) const;
 
  private:
   std::string fleet_;
 };
 
-// One line with format number and checksum, as it stands on disk. read throws config::BadInput where it is
-// torn, damaged, of another fleet or format.
+// As it stands on disk: a line with format number and checksum, and one with the state. read throws
+// config::BadInput where it is torn, damaged, of another fleet or format.
 std::string put(const AcceptorState& state);
 AcceptorState read_acceptor_state(const std::string& text, const std::string& fleet);
 
--- a/src/distribution/revision.h
+++ b/src/distribution/revision.h
@@ -4,12 +4,16 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace marbledyke::distribution {
 
 inline constexpr std::size_t kMostSettings =
-    48 * 1024;  // bytes of the document; a message holds 64 KiB at most
+    48 * 1024;  // bytes of the canonical document; a message holds 64 KiB at most
+inline constexpr std::size_t kMostSettingsText = 4 * kMostSettings;  // as given, with white space
+inline constexpr int kDeepestSettings = 32;                          // levels; writing JSON out recurses
+inline constexpr std::size_t kLongestName = 64;  // bytes of an author, a proposer, a fleet
 
 struct Revision {
   std::int64_t index = 0;
@@ -27,9 +31,14 @@
 std::string digest_of(const Revision& revision);
 
 // The canonical form of a settings document. Throws config::BadInput naming the fault: not JSON, not an
-// object, too large.
+// object, too large, too deep.
 std::string canonical_settings(const std::string& text);
 
+// What is wrong with a revision, naming the field; none: nothing. `fleet`: whose it has to be; empty: any.
+// Takes the settings for canonical.
+std::optional<std::string> fault_of(const Revision& revision, const std::string& fleet);
+
+// With the settings as an object, not as text within text: half as long.
 nlohmann::json put(const Revision& revision);
 // Throws config::BadInput naming the field at fault, also where the digest does not match.
 Revision read_revision(const nlohmann::json& from);
