Control node, its program and the receiver's sockets

ReceiverClient carries out what Receiver decides over one kept connection. Built strictly; not run yet.

--- /dev/null
+++ b/src/distribution/main.cpp
@@ -0,0 +1,7 @@
+// marbledyke-control: a control node. docs/fleet.md is for operators.
+#include "distribution/program.h"
+
+int main(int count, char** words) {
+  static marbledyke::disk::MachineDisk disk;
+  return marbledyke::distribution::run(count, words, disk, marbledyke::machine_clock());
+}
--- a/src/distribution/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -105,7 +105,7 @@
 }
 
 void Publisher::answer(Caller caller, const Waiting& waiting, const Revision* revision) {
-  Due due{caller, {newest_ ? newest_->index : 0, std::nullopt}};
+  Due due{caller, {newest(), std::nullopt}};
   if (revision != nullptr) {
     due.answer.revision = *revision;
     revisions_given_ += 1;
--- a/src/distribution/publisher.h
+++ b/src/distribution/publisher.h
@@ -86,6 +86,7 @@
   std::optional<Due> next();          // answers that are due
   std::optional<Span> wakes() const;  // when tick() is needed next
   Summary summary() const;
+  std::int64_t newest() const { return newest_ ? newest_->index : 0; }
   const std::map<std::string, ReceiverState>& receivers() const { return receivers_; }
   std::size_t waiting() const { return waiting_.size(); }  // calls that are not answered yet
 
--- a/src/distribution/receiver.cpp
+++ b/src/distribution/receiver.cpp
@@ -87,10 +87,8 @@
   if (!answer.revision) return nothing_new(answer);
   if (answer.revision->fleet != identity_.fleet)
     return node_failed("a revision of another fleet: " + answer.revision->fleet.substr(0, kMostName));
-  if (answer.revision->digest != digest_of(*answer.revision)) {
-    tally_.wrong_digest += 1;
-    return node_failed("a revision whose digest does not match");
-  }
+  if (answer.revision->digest != digest_of(*answer.revision))
+    return damaged("a revision whose digest does not match");
   offered(*answer.revision);
 }
 
@@ -135,6 +133,12 @@
   if (takes(ReceiverEvent::failed)) node_failed(why);
 }
 
+void Receiver::damaged(const std::string& why) {
+  if (!takes(ReceiverEvent::failed)) return;
+  tally_.wrong_digest += 1;
+  node_failed(why);
+}
+
 void Receiver::silent() {
   if (takes(ReceiverEvent::silent)) node_failed("no answer in time");
 }
--- a/src/distribution/receiver.h
+++ b/src/distribution/receiver.h
@@ -66,8 +66,9 @@
   std::optional<ReceiverAct> next();
   void rested();
   void answered(const WatchAnswer& answer);
-  void failed(const std::string& why);  // refused, reset, an answer that cannot be read
-  void silent();                        // no answer within the call's patience
+  void failed(const std::string& why);   // refused, reset, an answer that cannot be read
+  void damaged(const std::string& why);  // an answer that holds a revision with a wrong digest
+  void silent();                         // no answer within the call's patience
   void applied();
   void refused(const std::string& why);  // by the gatherer's own rules; what is held stays in force
 
--- a/src/distribution/receiver_client.h
+++ b/src/distribution/receiver_client.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,12 +30,39 @@
 
   void applied();
   void refused(const std::string& why);
-  const Receiver& receiver() const;
-  std::uint64_t bytes_read() const;
-  std::uint64_t bytes_written() const;
+  const Receiver& receiver() const { return receiver_; }
+  // Of HTTP messages, on all connections so far.
+  std::uint64_t bytes_read() const { return bytes_read_; }
+  std::uint64_t bytes_written() const { return bytes_written_; }
 
  private:
-  // Chosen by the implementer.
+  void carry_out();
+  void carry(const ReceiverAct::Call& act);
+  void carry(const ReceiverAct::Apply& act);
+  void carry(const ReceiverAct::Rest& act);
+  void connect();
+  void write();
+  void arrived();
+  void ended(bool connected);
+  void message_read();
+  void tell_damaged(const std::string& why);
+  void tell_failed(const std::string& why);
+  void end_call();
+  void set_timer(Span wait, std::function<void()> then);
+
+  net::Loop& loop_;
+  std::vector<net::Address> nodes_;
+  Receiver receiver_;
+  Apply apply_;
+  std::unique_ptr<net::Stream> stream_, last_;  // the last one may still be telling of its end
+  std::size_t stream_node_ = 0;                 // where stream_ leads to
+  net::HttpReader reader_;
+  ReceiverAct::Call call_;  // the one that is out
+  bool calling_ = false;
+  bool reused_ = false;  // it went out on a connection that was there before
+  bool carrying_ = false;
+  std::optional<net::Loop::Timer> timer_;  // a call's patience or a rest
+  std::uint64_t bytes_read_ = 0, bytes_written_ = 0;
 };
 
 }  // namespace marbledyke::distribution
--- a/src/distribution/revision.cpp
+++ b/src/distribution/revision.cpp
@@ -108,6 +108,7 @@
   out.author = config::text(from, "author");
   out.made_ms = config::whole(from, "made_ms");
   out.digest = config::text(from, "digest");
+  if (out.digest != digest_of(out)) throw WrongDigest("digest: does not match");
   if (const auto fault = fault_of(out, "")) throw BadInput(*fault);
   return out;
 }
--- a/src/distribution/revision.h
+++ b/src/distribution/revision.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "config/fields.h"
+
 namespace marbledyke::distribution {
 
 inline constexpr std::size_t kMostSettings =
@@ -40,7 +42,10 @@
 
 // With the settings as an object, not as text within text: half as long.
 nlohmann::json put(const Revision& revision);
-// Throws config::BadInput naming the field at fault, also where the digest does not match.
+struct WrongDigest : config::BadInput {
+  using config::BadInput::BadInput;
+};
+// Throws config::BadInput naming the field at fault; WrongDigest where only the digest does not match.
 Revision read_revision(const nlohmann::json& from);
 
 // Whether a revision of this share is meant for that receiver. The same receivers are in every larger share.
--- a/src/keeper/program.cpp
+++ b/src/keeper/program.cpp
@@ -1,39 +1,19 @@
 #include "keeper/program.h"
 
 #include <signal.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 #include <CLI/CLI.hpp>
-#include <cerrno>
 #include <iostream>
-#include <system_error>
 
 #include "config/fields.h"
 #include "keeper/keeper.h"
 #include "keeper/private.h"
 #include "log/log.h"
+#include "net/signals.h"
 
 namespace marbledyke::keeper {
 namespace {
 
-class Signals final : public net::Watcher {
- public:
-  Signals(net::Loop& loop, const sigset_t& which, std::function<void()> told)
-      : fd_(signalfd(-1, &which, SFD_NONBLOCK | SFD_CLOEXEC)), told_(std::move(told)) {
-    if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
-    loop.watch(fd_.get(), *this);
-  }
-  void ready(bool, bool) override {
-    signalfd_siginfo info{};
-    while (read(fd_.get(), &info, sizeof info) == sizeof info) told_();
-  }
-
- private:
-  net::Descriptor fd_;
-  std::function<void()> told_;
-};
-
 void duration(CLI::App& app, const char* name, Span& into, const char* what) {
   app.add_option_function<double>(
          name, [&into](const double& s) { into = Span(static_cast<std::int64_t>(s * 1e6)); },
@@ -81,7 +61,7 @@
       throw config::BadInput("--folder: not an absolute path: " + options.folder);
     net::Loop loop(clock);
     Keeper keeper(loop, disk, options);
-    Signals signals(loop, heeded, [&keeper] { keeper.leave(); });
+    net::Signals signals(loop, heeded, [&keeper] { keeper.leave(); });
     log::event(log::Level::info, "keeper.serving", {{"control", control}});
     while (keeper.running()) loop.gather();
     return EXIT_SUCCESS;
--- /dev/null
+++ b/src/net/signals.h
@@ -0,0 +1,36 @@
+// Signals as events of the loop, by signalfd. They have to be blocked in the process beforehand.
+#pragma once
+
+#include <signal.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <functional>
+#include <system_error>
+#include <utility>
+
+#include "net/descriptor.h"
+#include "net/loop.h"
+
+namespace marbledyke::net {
+
+class Signals final : public Watcher {
+ public:
+  // `told` is called once for each signal that came. Throws std::system_error.
+  Signals(Loop& loop, const sigset_t& which, std::function<void()> told)
+      : fd_(signalfd(-1, &which, SFD_NONBLOCK | SFD_CLOEXEC)), told_(std::move(told)) {
+    if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
+    loop.watch(fd_.get(), *this);
+  }
+  void ready(bool, bool) override {
+    signalfd_siginfo info{};
+    while (read(fd_.get(), &info, sizeof info) == sizeof info) told_();
+  }
+
+ private:
+  Descriptor fd_;
+  std::function<void()> told_;
+};
+
+}  // namespace marbledyke::net
