--- a/src/distribution/receiver.cpp
+++ b/src/distribution/receiver.cpp
@@ -48,9 +48,8 @@
   return out;
 }
 
-// All receivers of a fleet may be started at one moment: they begin spread over the first retry's wait.
 void Receiver::start() {
-  if (!order_.empty()) rest(jittered(Span::zero(), 2 * kFirstRetry));
+  if (!order_.empty()) rest(jittered(Span::zero(), kStartSpread));
 }
 
 void Receiver::rest(Span wait) {
--- a/src/distribution/receiver.h
+++ b/src/distribution/receiver.h
@@ -22,6 +22,7 @@
 // The mean wait after a failure, doubled with each failure in a row; drawn from zero to twice the mean.
 inline constexpr Span kFirstRetry{100'000};
 inline constexpr Span kLongestRetry{2'000'000};  // that is drawn
+inline constexpr Span kStartSpread{1'000'000};   // all receivers of a fleet may be started at one moment
 // Between an answer without news and the next call: a node that does not wait is not called faster than this.
 inline constexpr Span kPause{50'000};
 // At another node than its first choice until it tries one that it prefers; doubled while those are away.
