--- a/src/distribution/acceptor.h
+++ b/src/distribution/acceptor.h
@@ -13,8 +13,9 @@
 
 namespace marbledyke::distribution {
 
-// Orders the attempts of all proposers. Round 0 is below every attempt.
 inline constexpr std::int64_t kHighestRound = 1'000'000'000;  // a message with a higher one is damaged
+
+// Orders the attempts of all proposers. Round 0 is below every attempt.
 struct Ballot {
   std::int64_t round = 0;
   std::string proposer;
