--- a/src/distribution/acceptor_json.cpp
+++ b/src/distribution/acceptor_json.cpp
@@ -28,12 +28,16 @@
 
 Ballot read_ballot(const json& from, const char* field) {
   const json& body = config::object(from, field);
-  Ballot out;
-  out.round = config::whole(body, "round");
-  out.proposer = config::text(body, "proposer");
-  if (out.round < 0 || out.round > kHighestRound) throw BadInput(std::string(field) + ".round: out of range");
-  if (out.proposer.size() > kLongestName) throw BadInput(std::string(field) + ".proposer: too long");
-  return out;
+  try {
+    Ballot out;
+    out.round = config::whole(body, "round");
+    out.proposer = config::text(body, "proposer");
+    if (out.round < 0 || out.round > kHighestRound) throw BadInput("round: out of range");
+    if (out.proposer.size() > kLongestName) throw BadInput("proposer: too long");
+    return out;
+  } catch (const BadInput& fault) {
+    throw BadInput(std::string(field) + "." + fault.what());
+  }
 }
 
 // Cut between characters.
@@ -54,8 +58,9 @@
 }
 
 Revision read_revision_in(const json& from, const char* field) {
+  const json& body = config::need(from, field);
   try {
-    return read_revision(config::object(from, field));
+    return read_revision(body);
   } catch (const BadInput& fault) {
     throw BadInput(std::string(field) + ": " + fault.what());
   }
--- a/src/distribution/revision.cpp
+++ b/src/distribution/revision.cpp
@@ -99,7 +99,7 @@
 }
 
 Revision read_revision(const json& from) {
-  if (!from.is_object()) throw BadInput("revision: not an object");
+  if (!from.is_object()) throw BadInput("not an object");
   Revision out;
   out.index = config::whole(from, "index");
   out.fleet = config::text(from, "fleet");
