--- a/src/distribution/revision.cpp
+++ b/src/distribution/revision.cpp
@@ -13,6 +13,8 @@
 using config::BadInput;
 using nlohmann::json;
 
+constexpr const char* kDigestFault = "digest: does not match";
+
 // With its length, so that no two lists of fields are written alike.
 void add_field(std::string& into, const std::string& field) {
   into += std::to_string(field.size());
@@ -87,7 +89,7 @@
   if (!std::isfinite(revision.share) || revision.share <= 0 || revision.share > 1)
     return "share: not above 0 and at most 1";
   if (const auto fault = fault_of_name(revision.author, "author")) return fault;
-  if (revision.digest != digest_of(revision)) return "digest: does not match";
+  if (revision.digest != digest_of(revision)) return kDigestFault;
   return std::nullopt;
 }
 
@@ -99,7 +101,7 @@
 }
 
 Revision read_revision(const json& from) {
-  if (!from.is_object()) throw BadInput("revision: not an object");
+  if (!from.is_object()) throw BadInput("not an object");
   Revision out;
   out.index = config::whole(from, "index");
   out.fleet = config::text(from, "fleet");
@@ -108,9 +110,10 @@
   out.author = config::text(from, "author");
   out.made_ms = config::whole(from, "made_ms");
   out.digest = config::text(from, "digest");
-  if (out.digest != digest_of(out)) throw WrongDigest("digest: does not match");
-  if (const auto fault = fault_of(out, "")) throw BadInput(*fault);
-  return out;
+  const auto fault = fault_of(out, "");
+  if (!fault) return out;
+  if (*fault == kDigestFault) throw WrongDigest(*fault);
+  throw BadInput(*fault);
 }
 
 bool meant_for(double share, const std::string& receiver) {
