--- /dev/null
+++ b/tests/control_rig.cpp
@@ -0,0 +1,483 @@
+// Control nodes as processes of their own, receivers in this one, faults between and under them. Each line of
+// the trace is a verdict that is the same every time; what is measured goes to standard error, with
+// MARBLEDYKE_RIG_FIGURES set.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "config/fields.h"
+#include "distribution/acceptor.h"
+#include "distribution/receiver_client.h"
+#include "emulator/distribution.h"
+#include "net/json_server.h"
+#include "rig/process.h"
+#include "rig/relay.h"
+
+using namespace marbledyke;
+using namespace marbledyke::distribution;
+using namespace std::chrono_literals;
+using emulator::emulated_revision;
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr std::size_t kNodes = 3;
+constexpr std::size_t kReceivers = 9;
+
+void say(const std::string& what, bool is) { std::printf("%-88s %s\n", what.c_str(), is ? "yes" : "NO"); }
+
+void figure(const std::string& what, Span value) {
+  if (std::getenv("MARBLEDYKE_RIG_FIGURES") == nullptr) return;
+  std::fprintf(stderr, "%-60s %.3f s\n", what.c_str(), static_cast<double>(value.count()) / 1e6);
+}
+
+net::Address address(int last) {
+  const int pid = getpid();
+  const std::string text = "127." + std::to_string(100 + pid % 100) + '.' + std::to_string(pid / 100 % 250) +
+                           '.' + std::to_string(last) + ":7900";
+  return *net::parse_address(text);
+}
+
+std::string text_of(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::stringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+void write_text(const std::string& path, const std::string& text) {
+  std::ofstream(path + ".made", std::ios::binary | std::ios::trunc) << text;
+  fs::rename(path + ".made", path);
+}
+
+// A receiver that applies at once, and notes whether it was ever given an older revision than it had.
+struct Hollow {
+  Hollow(net::Loop& loop, std::vector<net::Address> nodes, std::uint32_t seed)
+      : client(loop, {"r" + std::to_string(seed), "z1", "f", CallerRole::receiver}, std::move(nodes), kNodes,
+               std::nullopt, seed, [this](const Revision& revision) {
+                 older = older || revision.index <= index;
+                 index = revision.index;
+                 client.applied();
+               }) {}
+  std::int64_t index = 0;
+  bool older = false;
+  ReceiverClient client;
+};
+
+// Three nodes of the lab's build in one region, receivers of all of them, and relays from each node to each
+// other.
+class Fleet {
+ public:
+  Fleet() {
+    std::string made = (fs::temp_directory_path() / "marbledyke-control-XXXXXX").string();
+    if (mkdtemp(made.data()) == nullptr) throw std::runtime_error(made);
+    folder = made;
+    loop.read_clock();
+    for (std::size_t from = 0; from < kNodes; ++from) {
+      for (std::size_t to = 0; to < kNodes; ++to) {
+        const auto at = address(static_cast<int>(100 + 10 * from + to));
+        relays[{from, to}] =
+            std::make_unique<rig::Relay>(loop, at, node(to), static_cast<std::uint32_t>(from * 10 + to));
+      }
+    }
+    for (std::size_t i = 0; i < kNodes; ++i) start(i);
+  }
+  ~Fleet() {
+    hollows.clear();
+    for (auto& process : processes) process.end();
+    std::error_code ignored;
+    fs::remove_all(folder, ignored);
+  }
+
+  static net::Address node(std::size_t i) { return address(static_cast<int>(1 + i)); }
+  std::string folder_of(std::size_t i) const { return folder + "/n" + std::to_string(i); }
+  std::string log_of(std::size_t i) const { return folder + "/n" + std::to_string(i) + ".log"; }
+
+  void launch(rig::Process& process, std::size_t i, const std::string& listen, const std::string& log) {
+    std::vector<std::string> words{rig::program("marbledyke-control-bent"),
+                                   "--name",
+                                   "n" + std::to_string(i),
+                                   "--region",
+                                   "r1",
+                                   "--fleet",
+                                   "f",
+                                   "--folder",
+                                   folder_of(i),
+                                   "--listen",
+                                   listen};
+    for (std::size_t to = 0; to < kNodes; ++to) {
+      if (to == i) continue;
+      words.push_back("--peer");
+      words.push_back(relays.at({i, to})->address().text());
+    }
+    process.start(words, {{"MARBLEDYKE_BENT", folder + "/n" + std::to_string(i) + ".bends"}}, log);
+  }
+  bool answers(std::size_t i) {
+    return rig::call(loop, node(i), "GET", "/v1/configuration/status", "", 500ms).status == 200;
+  }
+  bool start(std::size_t i) {
+    launch(processes[i], i, node(i).text(), log_of(i));
+    return rig::run_until(loop, 5s, [&] { return processes[i].ended() || answers(i); }) &&
+           !processes[i].ended();
+  }
+  void kill(std::size_t i) {
+    processes[i].signal(SIGKILL);
+    gone(i);
+  }
+  bool gone(std::size_t i) {
+    return rig::run_until(loop, 5s, [&] { return processes[i].ended().has_value(); });
+  }
+  void bend(std::size_t i, const json& how) {
+    write_text(folder + "/n" + std::to_string(i) + ".bends", how.dump());
+    rig::run_for(loop, 15ms);  // longer than it takes to be noticed
+  }
+  // The reason that a node gives for not starting.
+  std::string refusal(std::size_t i, const std::string& listen) {
+    rig::Process one;
+    const std::string log = folder + "/refused.log";
+    unlink(log.c_str());
+    launch(one, i, listen, log);
+    rig::run_until(loop, 3s, [&] { return one.ended().has_value(); });
+    std::string said = text_of(log);
+    if (!one.ended() || WEXITSTATUS(*one.ended()) != 1) return "TAKEN";
+    while (said.find(folder) != std::string::npos) said.replace(said.find(folder), folder.size(), "FOLDER");
+    return said.substr(0, said.find('\n'));
+  }
+
+  json status(std::size_t i) { return rig::call(loop, node(i), "GET", "/v1/configuration/status").body; }
+  json state(std::size_t i) { return rig::call(loop, node(i), "GET", "/v1/configuration/state").body; }
+  std::int64_t newest(std::size_t i) {
+    const json said = status(i);
+    return said.is_object() ? said.value("newest", std::int64_t{-1}) : -1;
+  }
+  rig::Answer post(std::size_t i, const std::string& what, const json& body, Span limit = 3s) {
+    return rig::call(loop, node(i), "POST", "/v1/configuration/" + what, body.dump(), limit);
+  }
+  rig::Answer learn(std::size_t i, std::int64_t index) {
+    return post(i, "learn", put(emulated_revision(index)));
+  }
+  void learn_all(std::int64_t index) {
+    for (std::size_t i = 0; i < kNodes; ++i) learn(i, index);
+  }
+
+  void receive() {
+    std::vector<net::Address> nodes;
+    for (std::size_t i = 0; i < kNodes; ++i) nodes.push_back(node(i));
+    for (std::uint32_t i = 0; i < kReceivers; ++i)
+      hollows.push_back(std::make_unique<Hollow>(loop, nodes, i));
+    rig::run_for(loop, 1500ms);  // starts are spread over 1 s
+  }
+  bool all_hold(std::int64_t index) const {
+    for (const auto& hollow : hollows) {
+      if (hollow->index != index) return false;
+    }
+    return true;
+  }
+  void in_force(const std::string& what, std::int64_t index, Span limit) {
+    const Span from = loop.now();
+    const bool held = rig::run_until(loop, limit, [&] { return all_hold(index); });
+    figure(what, loop.now() - from);
+    say(what + ": in force at all within " + std::to_string(limit / 1s) + " s", held);
+  }
+  void sound() const {
+    bool older = false;
+    std::uint64_t impossible = 0;
+    for (const auto& hollow : hollows) {
+      older = older || hollow->older;
+      impossible += hollow->client.receiver().impossible();
+    }
+    say("no receiver was ever given one that is not newer", !older);
+    say("nothing came that cannot come", impossible == 0);
+  }
+  void cut(std::size_t apart, bool on) {
+    rig::Way lost;
+    lost.lost = on;
+    for (const auto& [ends, relay] : relays) {
+      if (ends.first != apart && ends.second != apart) continue;
+      relay->set(lost, lost);
+      if (!on) relay->cut();  // what was lost leaves a connection out of step
+    }
+  }
+
+  net::Loop loop;
+  std::string folder;
+  std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<rig::Relay>> relays;
+  std::array<rig::Process, kNodes> processes;
+  std::vector<std::unique_ptr<Hollow>> hollows;
+};
+
+// ---- a whole life ----
+
+void life() {
+  Fleet fleet;
+  say("three nodes answer", fleet.answers(0) && fleet.answers(1) && fleet.answers(2));
+  fleet.receive();
+  fleet.learn_all(1);
+  fleet.in_force("the first revision", 1, 2s);
+  rig::run_for(fleet.loop, 600ms);  // beyond the spacing
+  fleet.learn_all(2);
+  fleet.learn_all(3);
+  fleet.in_force("two within the spacing: the later one", 3, 2s);
+  say("an older one is told to be outdated",
+      fleet.learn(0, 2).body.value("kind", "") == "outdated" && fleet.newest(0) == 3);
+  std::uint64_t known = 0;
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    const json receivers = fleet.status(i)["receivers_by_index"];
+    for (const auto& [index, count] : receivers.items())
+      known += index == "3" ? count.get<std::uint64_t>() : 1000;
+  }
+  say("the nodes' sums name all receivers at 3, and no peer", known == kReceivers);
+  say("a second node on the folder is refused",
+      fleet.refusal(0, address(90).text()).ends_with("another control node has it"));
+  fleet.kill(0);
+  fleet.learn(1, 4);
+  fleet.in_force("a node killed, one of the others told", 4, 2s);
+  say("started again it has what the others have",
+      fleet.start(0) && rig::run_until(fleet.loop, 3s, [&] { return fleet.newest(0) == 4; }));
+  fleet.processes[1].signal(SIGSTOP);
+  fleet.learn(0, 5);
+  fleet.in_force("a node stopped at the moment of a change", 5, 8s);
+  fleet.processes[1].signal(SIGCONT);
+  say("it goes on and follows", rig::run_until(fleet.loop, 3s, [&] { return fleet.newest(1) == 5; }));
+  fleet.processes[2].signal(SIGTERM);
+  say("SIGTERM ends a node in order", fleet.gone(2) && *fleet.processes[2].ended() == 0);
+  fleet.learn(0, 6);
+  fleet.in_force("without it", 6, 2s);
+  fleet.sound();
+}
+
+// ---- ended at a point ----
+
+void points() {
+  Fleet fleet;
+  fleet.receive();
+  fleet.learn_all(1);
+  fleet.in_force("the first revision", 1, 2s);
+  rig::run_for(fleet.loop, 600ms);
+  fleet.bend(0, {{"point", {{"name", "control.written"}}}});
+  say("killed between writing and telling: no answer", fleet.learn(0, 2).status == 0 && fleet.gone(0));
+  rig::run_for(fleet.loop, 500ms);
+  say("and nobody has it", fleet.all_hold(1) && fleet.newest(1) == 1 && fleet.newest(2) == 1);
+  fleet.bend(0, json::object());
+  say("started again it has it", fleet.start(0) && fleet.newest(0) == 2);
+  fleet.in_force("and tells it to peers and receivers", 2, 4s);
+  fleet.bend(1, {{"point", {{"name", "control.before_write"}}}});
+  say("killed before writing: no answer", fleet.learn(1, 3).status == 0 && fleet.gone(1));
+  fleet.bend(1, json::object());
+  say("started again it has it not", fleet.start(1) && fleet.newest(1) == 2);
+  Accept accept;
+  accept.ballot = {1, "tool"};
+  accept.revision = emulated_revision(3);
+  fleet.bend(2, {{"point", {{"name", "control.written"}}}});
+  say("killed after it wrote what it accepts: no answer",
+      fleet.post(2, "accept", put(accept)).status == 0 && fleet.gone(2));
+  fleet.bend(2, json::object());
+  const bool up = fleet.start(2);
+  const json state = fleet.state(2);
+  say("started again it has accepted it, and a lower ballot is outbid",
+      up && state["accepted"]["index"] == 3 && state["chosen"]["index"] == 2 &&
+          fleet.post(2, "prepare", put(Prepare{{1, "a"}, emulated_revision(2)})).body.value("kind", "") ==
+              "outbid");
+  fleet.learn_all(3);
+  fleet.in_force("at last", 3, 4s);
+  fleet.sound();
+}
+
+// ---- disks ----
+
+void disks() {
+  Fleet fleet;
+  fleet.receive();
+  fleet.learn_all(1);
+  fleet.in_force("the first revision", 1, 2s);
+  for (std::size_t i = 0; i < kNodes; ++i) fleet.bend(i, {{"disk", {{"full", true}}}});
+  say("the disk full: a revision is not taken", fleet.learn(0, 2).status == 503);
+  const json promise = put(Prepare{{1, "tool"}, emulated_revision(1)});
+  say("nor is a promise given", fleet.post(0, "prepare", promise).status == 503);
+  rig::run_for(fleet.loop, 300ms);
+  say("what was in force stays so, and is told", fleet.newest(0) == 1 && fleet.all_hold(1));
+  fleet.bend(0, json::object());
+  say("with room again it is taken", fleet.learn(0, 2).status == 200);
+  rig::run_for(fleet.loop, 1500ms);
+  say("a peer whose disk is still full does not follow",
+      fleet.newest(1) == 1 && fleet.status(1).value("write_failures", 0) > 0);
+  for (std::size_t i = 0; i < kNodes; ++i) fleet.bend(i, json::object());
+  fleet.in_force("all with room again", 2, 8s);
+  fleet.bend(2, {{"disk", {{"tears", 40}}}});
+  say("a write torn by the machine's end: no answer", fleet.learn(2, 3).status == 0 && fleet.gone(2));
+  fleet.bend(2, json::object());
+  say("started again it has the one before", fleet.start(2) && fleet.newest(2) == 2);
+  fleet.kill(2);
+  const std::string state = fleet.folder_of(2) + "/state";
+  const std::string good = text_of(state);
+  std::string flipped = good;
+  flipped[flipped.size() / 2] ^= 1;
+  const auto with = [&](const char* what, const std::string& text) {
+    write_text(state, text);
+    const std::string why = fleet.refusal(2, fleet.node(2).text());
+    std::printf("%-22s %s\n", what, why.substr(0, why.find("damaged") + 7).c_str());
+  };
+  with("one bit flipped", flipped);
+  with("half of it", good.substr(0, good.size() / 2));
+  with("emptied", "");
+  unlink(state.c_str());
+  std::printf("%-22s %s\n", "removed", fleet.refusal(2, fleet.node(2).text()).c_str());
+  write_text(state, good);
+  say("put back it starts", fleet.start(2) && fleet.newest(2) == 2);
+  fleet.learn_all(3);
+  fleet.in_force("at last", 3, 4s);
+  fleet.sound();
+}
+
+// ---- cut between nodes ----
+
+void cuts() {
+  Fleet fleet;
+  fleet.receive();
+  fleet.learn_all(1);
+  fleet.in_force("the first revision", 1, 2s);
+  fleet.cut(2, true);
+  rig::run_for(fleet.loop, 600ms);
+  fleet.learn(0, 2);
+  rig::run_for(fleet.loop, 1s);
+  say("node 2 cut off from its peers: they have the next one, it has not",
+      fleet.newest(0) == 2 && fleet.newest(1) == 2 && fleet.newest(2) == 1);
+  rig::run_for(fleet.loop, 5s);
+  fleet.cut(2, false);
+  say("healed: it follows", rig::run_until(fleet.loop, 6s, [&] { return fleet.newest(2) == 2; }));
+  fleet.in_force("healed", 2, 4s);
+  fleet.sound();
+}
+
+// ---- requests ----
+
+void requests() {
+  Fleet fleet;
+  fleet.receive();
+  fleet.learn_all(1);
+  fleet.in_force("the first revision", 1, 2s);
+  const auto raw = [&](const char* what, const std::string& bytes) {
+    const Span from = fleet.loop.now();
+    const std::string answer = rig::raw_call(fleet.loop, fleet.node(0), bytes, 4s);
+    std::printf("%-34s %s%s\n", what, answer.size() > 12 ? answer.substr(9, 3).c_str() : "none",
+                fleet.loop.now() - from < 4s ? "" : ", TOO LATE");
+  };
+  const std::string close = " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n";
+  const std::string post = "POST /v1/configuration/accept" + close;
+  raw("not HTTP", "hello\r\n\r\n");
+  raw("no such page", "GET /nothing" + close + "\r\n");
+  raw("a message by GET", "GET /v1/configuration/accept" + close + "\r\n");
+  raw("a call without a receiver", "GET /v1/configuration?index=1" + close + "\r\n");
+  raw("an index below 0", "GET /v1/configuration?receiver=a&index=-1" + close + "\r\n");
+  raw("a message that is no JSON", post + "Content-Length: 5\r\n\r\n{{{{{");
+  raw("a message of 10 MB", post + "Content-Length: 10000000\r\n\r\n");
+  raw("half a message, then nothing", post + "Content-Length: 50\r\n\r\n{\"ballot\":");
+  raw("half a head, then nothing", "GET /v1/conf");
+  raw("a head of 1 MB", "GET /v1/configuration" + close + "X: " + std::string(1'000'000, 'x') + "\r\n\r\n");
+  const std::string deep = std::string(60'000, '[');
+  raw("a message nested 60,000 deep",
+      post + "Content-Length: " + std::to_string(deep.size()) + "\r\n\r\n" + deep);
+  raw("a receiver's call that does not wait", "GET /v1/configuration?receiver=a&wait=0" + close + "\r\n");
+  Revision other = emulated_revision(2);
+  other.fleet = "g";
+  other.digest = digest_of(other);
+  say("another fleet's revision is refused",
+      fleet.post(0, "learn", put(other)).body.value("kind", "") == "refused");
+  json wrong = put(emulated_revision(2));
+  wrong["settings"]["index"] = 7;
+  const rig::Answer damaged = fleet.post(0, "learn", wrong);
+  say("one with a wrong digest is refused, named",
+      damaged.status == 400 && damaged.body.value("error", "").find("digest") != std::string::npos);
+  Revision large = emulated_revision(2);
+  large.settings = "{\"a\":\"" + std::string(kMostSettings, 'x') + "\"}";
+  large.digest = digest_of(large);
+  say("one that is too large is refused", fleet.post(0, "learn", put(large)).status == 400);
+  Revision second = emulated_revision(1);
+  second.author = "another";
+  second.digest = digest_of(second);
+  say("another one at an index that is agreed is refused",
+      fleet.post(0, "learn", put(second)).body.value("kind", "") == "refused");
+  say("what was in force stays so", fleet.newest(0) == 1 && fleet.all_hold(1));
+  std::vector<net::Descriptor> held;
+  for (int i = 0; i < 300; ++i) held.push_back(net::start_connect(fleet.node(0)));
+  rig::run_for(fleet.loop, 300ms);
+  large.settings = "{\"a\":\"" + std::string(kMostSettings - 8, 'x') + "\"}";
+  large.digest = digest_of(large);
+  say("beside 300 idle connections one of the largest size is taken",
+      fleet.post(0, "learn", put(large)).status == 200);
+  fleet.in_force("and", 2, 2s);
+  fleet.sound();
+}
+
+// ---- a node that lies ----
+
+// Answers a receiver's calls with that text; or, without one, never.
+struct Liar {
+  Liar(net::Loop& loop, const net::Address& at, std::optional<std::string> with)
+      : server(loop, at, {},
+               {[this, text = std::move(with)](net::JsonServer::Caller caller, const net::JsonRequest&) {
+                  asked += 1;
+                  if (text) server.answer(caller, {200, *text});
+                },
+                nullptr}) {}
+  int asked = 0;
+  net::JsonServer server;
+};
+
+void liars() {
+  Fleet fleet;
+  fleet.learn_all(5);
+  json other = put(WatchAnswer{9, emulated_revision(9)});
+  other["revision"]["fleet"] = "g";
+  json damaged = put(WatchAnswer{9, emulated_revision(9)});
+  damaged["revision"]["settings"]["index"] = 1;
+  const std::map<std::string, std::optional<std::string>> lies{
+      {"is silent", std::nullopt},
+      {"talks nonsense", "hello"},
+      {"sends 10 MB", "{\"newest\":1,\"x\":\"" + std::string(10'000'000, 'x') + "\"}"},
+      {"has a wrong digest", damaged.dump()},
+      {"serves another fleet", other.dump()},
+      {"says nothing new at once", R"({"newest":0})"}};
+  int number = 50;
+  for (const auto& [what, text] : lies) {
+    const net::Address at = address(number++);
+    Liar liar(fleet.loop, at, text);
+    std::int64_t index = 0;
+    std::unique_ptr<ReceiverClient> client;
+    client = std::make_unique<ReceiverClient>(
+        fleet.loop, Receiver::Identity{"r", "z1", "f", CallerRole::receiver},
+        std::vector<net::Address>{at, fleet.node(0)}, 1, std::nullopt, 1, [&](const Revision& revision) {
+          index = revision.index;
+          client->applied();
+        });
+    if (text && text->ends_with("0}")) {
+      rig::run_for(fleet.loop, 2s);
+      say("one that " + what + " is called 20 times a second at most",
+          client->receiver().tally().calls <= 2 * 20 + 2 && index == 0);
+    } else {
+      const bool has = rig::run_until(fleet.loop, 4s, [&] { return index == 5; });
+      say("one that " + what + " is left for another node", has && client->receiver().node() == 1);
+    }
+    say("  and nothing came that cannot come", client->receiver().impossible() == 0);
+  }
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  const std::map<std::string, void (*)()> cases{{"life", life}, {"points", points},     {"disks", disks},
+                                                {"cuts", cuts}, {"requests", requests}, {"liars", liars}};
+  const auto found = count == 2 ? cases.find(words[1]) : cases.end();
+  if (found == cases.end()) return 2;
+  signal(SIGPIPE, SIG_IGN);
+  found->second();
+  return 0;
+}
