--- a/tests/control_rig.cpp
+++ b/tests/control_rig.cpp
@@ -58,6 +58,14 @@
   fs::rename(path + ".made", path);
 }
 
+Prepare prepare_of(const std::string& proposer, std::int64_t chosen) {
+  Prepare out;
+  out.ballot = {1, proposer};
+  out.fleet = "f";
+  out.chosen = emulated_revision(chosen);
+  return out;
+}
+
 // A receiver that applies at once, and notes whether it was ever given an older revision than it had.
 struct Hollow {
   Hollow(net::Loop& loop, std::vector<net::Address> nodes, std::uint32_t seed)
@@ -284,8 +292,7 @@
   const json state = fleet.state(2);
   say("started again it has accepted it, and a lower ballot is outbid",
       up && state["accepted"]["index"] == 3 && state["chosen"]["index"] == 2 &&
-          fleet.post(2, "prepare", put(Prepare{{1, "a"}, emulated_revision(2)})).body.value("kind", "") ==
-              "outbid");
+          fleet.post(2, "prepare", put(prepare_of("a", 2))).body.value("kind", "") == "outbid");
   fleet.learn_all(3);
   fleet.in_force("at last", 3, 4s);
   fleet.sound();
@@ -300,7 +307,7 @@
   fleet.in_force("the first revision", 1, 2s);
   for (std::size_t i = 0; i < kNodes; ++i) fleet.bend(i, {{"disk", {{"full", true}}}});
   say("the disk full: a revision is not taken", fleet.learn(0, 2).status == 503);
-  const json promise = put(Prepare{{1, "tool"}, emulated_revision(1)});
+  const json promise = put(prepare_of("tool", 1));
   say("nor is a promise given", fleet.post(0, "prepare", promise).status == 503);
   rig::run_for(fleet.loop, 300ms);
   say("what was in force stays so, and is told", fleet.newest(0) == 1 && fleet.all_hold(1));
