--- a/src/distribution/node.cpp
+++ b/src/distribution/node.cpp
@@ -35,6 +35,7 @@
   return {200, body.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
+// Names go into the query of a call, where they are read by the same rule.
 void check_name(const std::string& name, const char* option) {
   WatchCall call;
   call.receiver = name;
@@ -45,6 +46,12 @@
   }
 }
 
+const NodeOptions& checked(const NodeOptions& options) {
+  check_name(options.name, "--name");
+  check_name(options.region, "--region");
+  return options;
+}
+
 }  // namespace
 
 struct Node::Inside {
@@ -94,7 +101,7 @@
 
 Node::Inside::Inside(net::Loop& its_loop, disk::Disk& disk, const NodeOptions& its_options)
     : loop(its_loop),
-      options((check_name(its_options.name, "--name"), its_options)),
+      options(checked(its_options)),
       state(disk, options.folder, options.fleet),
       acceptor(options.fleet),
       retries(options.peers.size()) {
--- a/src/distribution/watch_messages.cpp
+++ b/src/distribution/watch_messages.cpp
@@ -144,7 +144,14 @@
   out.newest = config::whole(from, "newest");
   if (out.newest < 0) throw config::BadInput("newest: below 0");
   const auto revision = from.find("revision");
-  if (revision != from.end()) out.revision = read_revision(*revision);
+  if (revision == from.end()) return out;
+  try {
+    out.revision = read_revision(*revision);
+  } catch (const WrongDigest&) {
+    throw;
+  } catch (const config::BadInput& wrong) {
+    throw config::BadInput(std::string("revision: ") + wrong.what());
+  }
   return out;
 }
 
--- a/tests/control_rig.cpp
+++ b/tests/control_rig.cpp
@@ -413,6 +413,21 @@
   say("another one at an index that is agreed is refused",
       fleet.post(0, "learn", put(second)).body.value("kind", "") == "refused");
   say("what was in force stays so", fleet.newest(0) == 1 && fleet.all_hold(1));
+  {
+    std::vector<std::unique_ptr<net::Stream>> callers;
+    for (int i = 0; i < 40; ++i) {
+      auto made = std::make_unique<net::Stream>(fleet.loop, net::start_connect(fleet.node(0)), false, 4096,
+                                                4096, net::Stream::Told{});
+      made->out().put("GET /v1/configuration?receiver=w" + std::to_string(i) +
+                      "&index=1&digest=x&wait=10000" + close + "\r\n");
+      callers.push_back(std::move(made));
+    }
+    const auto waiting = [&] { return fleet.status(0).value("waiting", 0); };
+    say("40 callers wait", rig::run_until(fleet.loop, 2s, [&] { return waiting() >= 40; }));
+    callers.clear();
+    say("they leave, and are not waited with",
+        rig::run_until(fleet.loop, 2s, [&] { return waiting() < 40; }));
+  }
   std::vector<net::Descriptor> held;
   for (int i = 0; i < 300; ++i) held.push_back(net::start_connect(fleet.node(0)));
   rig::run_for(fleet.loop, 300ms);
@@ -439,7 +454,26 @@
   net::JsonServer server;
 };
 
+void late_owner() {
+  net::Loop loop;
+  loop.read_clock();
+  const net::Address at = address(80);
+  int asked = 0, left = 0;
+  net::JsonServer::Bounds bounds;
+  bounds.deferred = 300ms;
+  net::JsonServer server(loop, at, bounds,
+                         {[&](net::JsonServer::Caller, const net::JsonRequest&) { asked += 1; },
+                          [&](net::JsonServer::Caller) { left += 1; }});
+  const rig::Answer answer = rig::call(loop, at, "GET", "/", "", 2s);
+  say("an owner who does not answer in time: 503, and it is told",
+      answer.status == 503 && asked == 1 && left == 1);
+  rig::call(loop, at, "GET", "/", "", 100ms);
+  rig::run_for(loop, 50ms);
+  say("a caller who goes before that: it is told as well", asked == 2 && left == 2);
+}
+
 void liars() {
+  late_owner();
   Fleet fleet;
   fleet.learn_all(5);
   json other = put(WatchAnswer{9, emulated_revision(9)});
