--- a/src/distribution/receiver.h
+++ b/src/distribution/receiver.h
@@ -75,7 +75,8 @@
 
   const std::optional<Revision>& held() const { return held_; }
   ReceiverPhase phase() const { return phase_; }
-  std::size_t node() const { return order_.at(place_); }  // that it watches or will watch next
+  // That it watches or will watch next; 0 where there is none.
+  std::size_t node() const { return order_.empty() ? 0 : order_[place_]; }
   const std::string& last_failure() const { return last_failure_; }
   const Tally& tally() const { return tally_; }
   std::uint64_t impossible() const { return impossible_; }  // an event came that cannot come in that phase
