--- a/src/distribution/proposer.h
+++ b/src/distribution/proposer.h
@@ -66,7 +66,8 @@
   // What is agreed, to be told to every node with learn. none: nothing was agreed yet.
   const std::optional<Revision>& result() const { return chosen_; }
   const std::string& why() const { return why_; }
-  std::string line() const;  // all that decides what it will do, for explorers
+  bool proposes() const { return value_.has_value(); }  // a majority has promised, in this round
+  std::string line() const;                             // all that decides what it will do, for explorers
 
  private:
   enum class Phase { preparing, accepting, waiting, over };
