--- a/tests/agreement_traces.cpp
+++ b/tests/agreement_traces.cpp
@@ -24,8 +24,7 @@
 }
 
 Ballot first_ballot() {
-  Ballot out;
-  out.round = 1;
+  Ballot out{1, {}};
   out.proposer = "p";
   return out;
 }
@@ -61,8 +60,8 @@
 }
 
 std::string text_of(const Proposer& proposer) {
-  const std::string why = proposer.why().empty() ? "" : " (" + proposer.why() + ")";
-  return std::string(name_of(proposer.outcome())) + why + ", newest " + text_of(proposer.result());
+  const std::string why = proposer.why().empty() ? ", " : " (" + proposer.why() + "), ";
+  return name_of(proposer.outcome()) + why + "newest " + text_of(proposer.result());
 }
 
 // Nodes with what stands on their disks. `written`: all messages and states pass through their text.
@@ -98,6 +97,7 @@
 
 // One message at a time, in order; `reached` says whether a voter gets a message and can answer.
 using Reached = std::function<bool(const Message&)>;
+bool all(const Message&) { return true; }
 void drive(Proposer& proposer, Nodes& nodes, const Reached& reached, bool told = false) {
   while (proposer.outcome() == Outcome::under_way) {
     if (proposer.waits_for_round()) proposer.begin_round();
@@ -114,8 +114,6 @@
   }
 }
 
-bool all(const Message&) { return true; }
-
 // Brings a change through and tells the nodes.
 Revision agree(Nodes& nodes, const std::string& author, const std::optional<Revision>& chosen) {
   Proposer proposer(nodes.states.size(), "tool-" + author, change_of(author), chosen);
@@ -178,8 +176,7 @@
   const Message to_0 = *proposer.next(), to_1 = *proposer.next(), to_2 = *proposer.next();
   const Reply promise_0 = nodes.take(0, to_0), promise_1 = nodes.take(1, to_1);
   const auto show = [&](const char* what) { std::printf("%s: %s\n", what, text_of(proposer).c_str()); };
-  proposer.replied(0, promise_0);
-  proposer.replied(0, promise_0);
+  for (int twice = 0; twice < 2; ++twice) proposer.replied(0, promise_0);
   show("0 promises twice");
   proposer.replied(1, promise_1);
   const Message accept_0 = *proposer.next(), accept_1 = *proposer.next();
@@ -187,14 +184,13 @@
   proposer.replied(1, promise_1);
   show("both promise once more after they were sent the change");
   const Reply accepted_0 = nodes.take(0, accept_0);
-  proposer.replied(0, accepted_0);
-  proposer.replied(0, accepted_0);
+  for (int twice = 0; twice < 2; ++twice) proposer.replied(0, accepted_0);
   show("0 accepts twice");
   proposer.failed(1);
   proposer.failed(2);
-  std::printf("waits %d, from %lld to %lld us\n", proposer.waits_for_round(),
-              static_cast<long long>(proposer.backoff(0).count()),
-              static_cast<long long>(proposer.backoff(1).count()));
+  const auto backoff = [&](double jitter) { return std::to_string(proposer.backoff(jitter).count()); };
+  std::printf("waits %d, from %s to %s us\n", proposer.waits_for_round(), backoff(0).c_str(),
+              backoff(1).c_str());
   proposer.begin_round();
   proposer.replied(0, accepted_0);
   proposer.replied(1, nodes.take(1, accept_1));
