Gatherer: the fleet's settings hold over its configuration's own where a file is named

MARBLEDYKE_SETTINGS names a file of JSON (fleet, index, digest, settings). It is read at the start and on SIGHUP; a file that is damaged or refused changes nothing on SIGHUP (configuration.refused names file and key) and ends a start. Events and windows say settings_index. The digest in the windows stays that of the configuration's text, which a keeper's proof of a version hangs on. What is said of one machine only (zone) stays the configuration's where the document leaves it out. Without the variable nothing changes. The gatherer does not check the revision's digest: its keeper does, and the platform's program gets no further library for it.

--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <system_error>
 
+#include "choice.h"
 #include "events/pipe.h"
 #include "gatherer/gatherer.h"
 #include "log/log.h"
@@ -63,10 +64,22 @@
   return fd;
 }
 
+// The configuration and the fleet's settings. What the module refuses of the latter is named with their file.
+config::Commission read_configuration() {
+  config::Commission out = config::read_commission_file();
+  if (out.settings_file.empty()) return out;
+  try {
+    Choice(out.terms, out.seed);
+  } catch (const std::invalid_argument& wrong) {
+    throw config::BadInput(out.settings_file + ": settings." + wrong.what());
+  }
+  return out;
+}
+
 class Server {
  public:
   Server(const ServeOptions& options, const TimeSource& clock)
-      : options_(options), commission_(config::read_commission_file()) {
+      : options_(options), commission_(read_configuration()) {
     std::optional<operator_file::Terms> terms;
     if (!options.operator_file.empty()) {
       operator_file::Result result = operator_file::read_now(options.operator_file);
@@ -107,7 +120,11 @@
       }
     });
     report();
-    log::event(log::Level::info, "gatherer.serving");
+    if (commission_.settings_index) {
+      log::event(log::Level::info, "gatherer.serving", {{"settings_index", *commission_.settings_index}});
+    } else {
+      log::event(log::Level::info, "gatherer.serving");
+    }
     while (gatherer_->turn()) {
     }
     gatherer_->report();
@@ -159,7 +176,7 @@
   void take(const operator_file::Terms* terms) {
     try {
       spare_.in_use(1);
-      const config::Commission fresh = config::read_commission_file();
+      const config::Commission fresh = read_configuration();
       spare_.in_use(0);
       gatherer_->reload(fresh);
     } catch (const std::exception& wrong) {
--- a/src/config/commission.cpp
+++ b/src/config/commission.cpp
@@ -115,7 +115,7 @@
 
 }  // namespace
 
-Commission read_commission(const std::string& text_of_it) {
+Commission read_commission(const std::string& text_of_it, const std::optional<FleetSettings>& fleet) {
   const json from = parse(text_of_it);
   if (!from.is_object()) throw BadInput("the configuration is not an object");
   Commission out;
@@ -133,11 +133,15 @@
   if (sockets < 32 || sockets > 1'000'000) throw BadInput("limits.sockets: out of range");
   out.sockets = static_cast<int>(sockets);
   if (from.contains("known")) out.known = object(from, "known");
-  flatten(object(from, "settings"), "", out.terms);
+  if (fleet) out.settings_index = fleet->index;
+  if (fleet && fleet->index != 0) out.settings_file = fleet->file;
+  const json own = out.settings_file.empty() ? object(from, "settings") : from.value("settings", json());
+  flatten(fleet ? settings_under(*fleet, own) : own, "", out.terms);
   try {
     out.carriage = read_carriage(out.terms);
   } catch (const std::invalid_argument& wrong) {
-    throw BadInput(std::string("settings.") + wrong.what());
+    const std::string where = out.settings_file.empty() ? "" : out.settings_file + ": ";
+    throw BadInput(where + "settings." + wrong.what());
   }
   out.log_level = log_level();
   out.digest = hash_text(text_of_it);
@@ -150,7 +154,7 @@
   std::ifstream file(path);
   std::stringstream text;
   if (!file || !(text << file.rdbuf())) throw BadInput("PROXY_CONFIG: the file cannot be read");
-  return read_commission(text.str());
+  return read_commission(text.str(), read_fleet_settings());
 }
 
 }  // namespace marbledyke::config
--- a/src/config/commission.h
+++ b/src/config/commission.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "config/fields.h"
+#include "config/fleet_settings.h"
 #include "log/log.h"
 #include "model/plain.h"
 #include "net/address.h"
@@ -55,11 +57,16 @@
   Terms terms;
   Carriage carriage;
   std::uint64_t digest = 0;  // of the text it was read from
+  // The revision of the fleet's settings that `terms` are from; 0: the configuration's own. None: this
+  // process was not told to heed any.
+  std::optional<std::int64_t> settings_index;
+  std::string
+      settings_file;  // that the revision was read from; empty where the settings are the configuration's own
 };
 
-// From the text of the configuration; throws BadInput.
-Commission read_commission(const std::string& text);
-// From the file that the environment names.
+// From the text of the configuration, and the fleet's settings over it where there are any; throws BadInput.
+Commission read_commission(const std::string& text, const std::optional<FleetSettings>& fleet = {});
+// From the files that the environment names.
 Commission read_commission_file();
 
 }  // namespace marbledyke::config
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -167,7 +167,12 @@
   waits(fresh.sockets != commission_.sockets, "limits.sockets");
   const bool ask_anew = renew(fresh);
   commission_.digest = fresh.digest;
-  log::event(log::Level::info, "configuration.read_again", {{"discovery", fresh.discovery_host}});
+  if (fresh.settings_index) {
+    log::event(log::Level::info, "configuration.read_again",
+               {{"discovery", fresh.discovery_host}, {"settings_index", *fresh.settings_index}});
+  } else {
+    log::event(log::Level::info, "configuration.read_again", {{"discovery", fresh.discovery_host}});
+  }
   if (fresh.discovery != discovery_ || ask_anew) watch_.move(fresh.discovery, fresh.discovery_host);
   discovery_ = fresh.discovery;
 }
@@ -189,7 +194,10 @@
       changed += 1;
     }
   }
-  if (changed == 0) return false;
+  if (changed == 0) {
+    commission_.settings_index = fresh.settings_index;
+    return false;
+  }
   const auto same = [](const config::OpName& a, const config::OpName& b) {
     return a.name == b.name && a.once == b.once && a.second_step == b.second_step && a.floor == b.floor;
   };
@@ -205,9 +213,16 @@
   const bool ask_anew = to.zones != from.zones || to.cells != from.cells;
   const bool pushed_now = from.list_is_asked && !to.list_is_asked;
   commission_.terms = fresh.terms;
+  commission_.settings_index = fresh.settings_index;
   from = to;
   if (pushed_now) watch_.ask(true);
-  log::event(log::Level::info, "configuration.settings_taken", {{"changed", changed}, {"in_hand", open_}});
+  if (fresh.settings_index) {
+    log::event(
+        log::Level::info, "configuration.settings_taken",
+        {{"changed", changed}, {"in_hand", open_}, {"settings_index", *fresh.settings_index}});
+  } else {
+    log::event(log::Level::info, "configuration.settings_taken", {{"changed", changed}, {"in_hand", open_}});
+  }
   return ask_anew;
 }
 
@@ -575,12 +590,13 @@
   record.window.dropped = servers_.tally().dropped;
   char digest[17];
   std::snprintf(digest, sizeof digest, "%016llx", static_cast<unsigned long long>(commission_.digest));
-  record.told(nlohmann::json{{"event", "window"},
-                             {"number", ++record.number},
-                             {"configuration", digest},
-                             {"stopping", leave_by_.has_value()},
-                             {"window", totals::put(record.window)}}
-                  .dump());
+  nlohmann::json told = {{"event", "window"},
+                         {"number", ++record.number},
+                         {"configuration", digest},
+                         {"stopping", leave_by_.has_value()},
+                         {"window", totals::put(record.window)}};
+  if (commission_.settings_index) told["settings_index"] = *commission_.settings_index;
+  record.told(told.dump());
   record.window.by_op_type.clear();
   record.window.start_ms = ms - ms % totals::kWindowMs;
   loop_.at(loop_.now() + std::chrono::milliseconds(totals::kWindowMs - ms % totals::kWindowMs),
