--- a/src/keeper/child.cpp
+++ b/src/keeper/child.cpp
@@ -150,6 +150,11 @@
     ::signal(SIGPIPE, SIG_DFL);
     setenv("PROXY_CONFIG", start.configuration.c_str(), 1);
     setenv("MARBLEDYKE_EVENTS", events.c_str(), 1);
+    if (start.settings.empty()) {
+      unsetenv("MARBLEDYKE_SETTINGS");
+    } else {
+      setenv("MARBLEDYKE_SETTINGS", start.settings.c_str(), 1);
+    }
     if (start.listener >= 0) {
       int held_now = held;
       if (held_now == kListener) held_now = dup(held);
--- a/src/keeper/child.h
+++ b/src/keeper/child.h
@@ -45,6 +45,7 @@
   struct Start {
     std::string program, configuration, operator_file;  // the last may be empty
     std::string version;
+    std::string settings;  // the file with the fleet's settings; empty: none are heeded
     int listener = -1;
   };
   // Throws std::system_error; a process that cannot be executed ends with 127.
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <charconv>
 #include <system_error>
+#include <utility>
 
 #include "config/fields.h"
 #include "log/log.h"
@@ -32,6 +33,11 @@
   return from.contains(key) && from[key].is_string() ? from[key].get<std::string>() : otherwise;
 }
 
+std::optional<std::int64_t> settings_index_of(const json& event) {
+  if (!event.contains("settings_index")) return std::nullopt;
+  return config::whole(event, "settings_index");
+}
+
 // A share of chance that is this keeper's own, so that those of a fleet do not wait in step.
 double jitter_of(const std::string& name) {
   return static_cast<double>(hash_text(name) % 1000) / 2000.0;
@@ -97,6 +103,8 @@
         Child::Told{[this, i](const std::string& how) {
                       log::event(log::Level::info, "gatherer.ended", {{"slot", i}, {"how", how}});
                       minder_->tick(loop_.now(), loop_.clock().wall());
+                      // What it is started again with is settled first.
+                      if (settings_ && i == minder_->lead()) settings_->ended(slots_[i].stopping, how);
                       minder_->ended(i, how);
                       carry_out();
                     },
@@ -120,6 +128,7 @@
   }
   minder_->resume(versions_.facts(kept.in_force), versions_.facts(kept.former),
                   kept.order && versions_.has(kept.order->version));
+  start_settings();
   control_ = std::make_unique<Control>(
       loop_, options_.control,
       [this](const std::string& method, const std::string& target, const std::string& body) {
@@ -145,6 +154,7 @@
   graves_.clear();
   minder_->tick(loop_.now(), loop_.clock().wall());
   carry_out();
+  tick_settings();
   if (loop_.now() >= health_next_) ask_health();
   if (minder_->left() && !left_) {
     left_ = true;
@@ -180,9 +190,7 @@
         slots_[act->slot].child->relabel(act->version);
         break;
       case Act::What::hup:
-        slots_[act->slot].waits.clear();
-        points::reach("hup.before");
-        slots_[act->slot].child->signal(SIGHUP);
+        hup(act->slot);
         break;
       case Act::What::term:
         slots_[act->slot].stopping = true;
@@ -247,6 +255,7 @@
     start.program = versions_.path(version) + "/marbledyke";
     start.configuration = versions_.current() + "/config.json";
     if (facts.program.ends_with(kWithOperatorFile)) start.operator_file = versions_.current() + "/operator.xml";
+    if (settings_) start.settings = settings_->file();
     start.listener = listener_for(version);
     slot.child->begin(start);
   } catch (const std::exception& wrong) {
@@ -279,21 +288,78 @@
       slot.number = count;
       slot.windows += 1;
       const totals::Count all = window.all();
+      if (settings_ && number == minder_->lead()) settings_->runs(settings_index_of(event));
       minder_->heard(number, {config::text(event, "configuration"), all.taken, all.ended(), window.in_hand});
       slot.series.add(std::move(window));
     } else if (name == "gatherer.serving") {
+      if (settings_ && number == minder_->lead()) settings_->runs(settings_index_of(event));
       minder_->serves(number);
     } else if (name == "configuration.refused") {
-      minder_->read_said(number, false, false, stated_or(event, "why", ""));
+      read_said(number, event, false);
     } else if (name == "configuration.waits_for_start") {
       slot.waits = stated_or(event, "key", "");
     } else if (name == "configuration.read_again") {
-      minder_->read_said(number, true, !slot.waits.empty(), slot.waits);
+      read_said(number, event, true);
     }
   } catch (const config::BadInput&) {
     slot.unreadable += 1;
   }
   carry_out();
+  tick_settings();
+}
+
+// ---- the fleet's settings ----
+
+void Keeper::start_settings() {
+  if (options_.settings.control_nodes.empty()) return;
+  HolderPolicy policy;
+  const Policy& swaps = options_.policy;
+  policy.read_limit = swaps.read_limit;
+  // A swap, and the way back.
+  policy.wait_limit = 2 * (swaps.read_limit + swaps.start_limit + swaps.prove_limit) + swaps.stop_limit;
+  settings_ = std::make_unique<SettingsKeeper>(loop_, disk_, options_.folder, options_.name, options_.settings,
+                                               policy, [this] { hup(minder_->lead()); });
+}
+
+Host Keeper::host() const {
+  const Minder& m = *minder_;
+  const Life lead = m.life(m.lead()), other = m.life(1 - m.lead());
+  if (lead == Life::none && other == Life::none) return Host::absent;
+  const bool swapping = m.swap() != Swap::none && m.swap() != Swap::trial;
+  return lead == Life::serving && !swapping ? Host::ready : Host::busy;
+}
+
+void Keeper::tick_settings() {
+  if (!settings_) return;
+  settings_->tick(host());
+  send_hup_that_waited();
+}
+
+// What a gatherer says it made of SIGHUP must be told apart: while it reads the fleet's settings, no swap of
+// versions has it read.
+void Keeper::hup(int slot) {
+  if (settings_ && settings_->trying() && minder_->swap() != Swap::none && minder_->swap() != Swap::trial) {
+    hup_waits_ = slot;
+    return;
+  }
+  slots_[slot].waits.clear();
+  points::reach("hup.before");
+  slots_[slot].child->signal(SIGHUP);
+}
+
+void Keeper::send_hup_that_waited() {
+  if (!hup_waits_ || settings_->trying()) return;
+  const int slot = *std::exchange(hup_waits_, std::nullopt);
+  if (minder_->swap() == Swap::reading || minder_->swap() == Swap::back_reading) hup(slot);
+}
+
+void Keeper::read_said(int number, const json& event, bool taken) {
+  const std::string& waits = slots_[number].waits;
+  const std::string why = stated_or(event, "why", "");
+  if (!settings_ || !settings_->trying() || number != minder_->lead())
+    return minder_->read_said(number, taken, !waits.empty(), taken ? waits : why);
+  if (taken) return settings_->taken(settings_index_of(event), waits);
+  settings_->refused(why);
 }
 
 void Keeper::ask_health() {
@@ -479,6 +545,7 @@
               {"versions", json::array()},
               {"processes", json::array()}};
   if (kept.order) out["order"] = put(*kept.order);
+  if (settings_) out["settings"] = settings_->status();
   if (!state_wrong_.empty()) out["state_wrong"] = state_wrong_;
   if (!write_wrong_.empty()) out["write_wrong"] = write_wrong_;
   if (const auto again = m.starts_again())
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -11,6 +11,7 @@
 #include "keeper/child.h"
 #include "keeper/control.h"
 #include "keeper/minder.h"
+#include "keeper/settings_keeper.h"
 #include "keeper/tryout.h"
 #include "keeper/versions.h"
 #include "net/loop.h"
@@ -23,6 +24,7 @@
   std::string folder;
   net::Address control;
   Policy policy;
+  SettingsOptions settings;
 };
 
 class Keeper {
@@ -58,6 +60,12 @@
   void line(int slot, const std::string& text);
   void ask_health();
   void beat();
+  void start_settings();
+  Host host() const;
+  void tick_settings();
+  void hup(int slot);
+  void send_hup_that_waited();
+  void read_said(int slot, const nlohmann::json& event, bool taken);
   void take_some();
   void try_out(const std::string& version);
   Reply order(const std::string& body);
@@ -71,6 +79,8 @@
   net::Descriptor lock_;
   Versions versions_;
   std::unique_ptr<Minder> minder_;
+  std::unique_ptr<SettingsKeeper> settings_;  // of the fleet; none where no control node was named
+  std::optional<int> hup_waits_;              // the slot; until the gatherer has read the fleet's settings
   Slot slots_[kSlots];
   std::string listening_;  // the address of the socket that clients connect to, and the socket
   net::Descriptor listener_;
--- a/src/keeper/program.cpp
+++ b/src/keeper/program.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <iostream>
 
 #include "config/fields.h"
@@ -21,6 +22,18 @@
       ->check(CLI::Range(0.01, 3600.0));
 }
 
+std::vector<net::Address> read_control_nodes(const std::vector<std::string>& stated) {
+  std::vector<net::Address> out;
+  for (const std::string& each : stated) {
+    const auto address = net::parse_address(each);
+    if (!address) throw config::BadInput("--control-node: not an address: " + each);
+    if (const std::string why = not_private(*address); !why.empty())
+      throw config::BadInput("--control-node: " + each + " is " + why);
+    out.push_back(*address);
+  }
+  return out;
+}
+
 }  // namespace
 
 int run(int count, char** words, disk::Disk& disk, const TimeSource& clock) {
@@ -32,6 +45,14 @@
   app.add_option("--control", control, "Where it takes orders: loopback, a private address, unix:/PATH")->required();
   app.add_option("--name", options.name, "Its name in the fleet")->required();
   app.add_option("--log", log_form, "plain or json")->check(CLI::IsMember({"plain", "json"}));
+  std::vector<std::string> control_nodes;
+  SettingsOptions& settings = options.settings;
+  app.add_option("--control-node", control_nodes,
+                 "Where a control node serves the fleet's settings; once for each, the own region's first");
+  app.add_option("--preferred-control-nodes", settings.preferred, "How many of them are of the own region")
+      ->check(CLI::Range(std::size_t{1}, std::size_t{64}));
+  app.add_option("--fleet", settings.fleet, "Whose settings these are; with --control-node");
+  app.add_option("--zone", settings.zone, "Where it stands; with --control-node");
   Policy& p = options.policy;
   duration(app, "--start-limit", p.start_limit, "A process serves within this from its begin");
   duration(app, "--prove", p.prove, "What was swapped has to be sound for so long");
@@ -59,6 +80,10 @@
     options.control = *address;
     if (options.folder.empty() || options.folder.front() != '/')
       throw config::BadInput("--folder: not an absolute path: " + options.folder);
+    settings.control_nodes = read_control_nodes(control_nodes);
+    if (!settings.control_nodes.empty() && (settings.fleet.empty() || settings.zone.empty()))
+      throw config::BadInput("--control-node: needs --fleet and --zone");
+    settings.preferred = std::min(settings.preferred, settings.control_nodes.size());
     net::Loop loop(clock);
     Keeper keeper(loop, disk, options);
     net::Signals signals(loop, heeded, [&keeper] { keeper.leave(); });
