--- a/src/fleet/file.cpp
+++ b/src/fleet/file.cpp
@@ -24,7 +24,20 @@
   Fleet fleet;
   const xml::Element root = document->root();
   fleet.name = root.attribute("name").value_or("");
-  std::set<std::string> names, addresses;
+  std::set<std::string> names, node_names, addresses;
+  const auto private_address = [&](const xml::Element& at, const std::string& attribute) {
+    const std::string stated = at.attribute(attribute.c_str()).value_or("");
+    const auto address = net::parse_address(stated);
+    if (!address) {
+      reader.fault(at, attribute + ": not an address with a port, nor a Unix socket: " + stated);
+      return net::Address{};
+    }
+    if (const std::string why = keeper::not_private(*address); !why.empty())
+      reader.fault(at, attribute + ": " + stated + " is " + why);
+    if (!addresses.insert(address->text()).second)
+      reader.fault(at, attribute + ": " + stated + " is there twice");
+    return *address;
+  };
   const auto listed = [&](const xml::Element& at, std::vector<std::string>& into) {
     const std::string name = at.attribute("name").value_or("");
     if (std::find(into.begin(), into.end(), name) != into.end()) reader.fault(at, "name: " + name + " is there twice");
@@ -33,19 +46,20 @@
   for (const xml::Element& at : root.children()) {
     if (at.name() == "zone") listed(at, fleet.zones);
     if (at.name() == "group") listed(at, fleet.groups);
+    if (at.name() == "control-node") {
+      ControlNodeAt node;
+      node.name = at.attribute("name").value_or("");
+      node.region = at.attribute("region").value_or("");
+      node.voter = at.attribute("voter").value_or("yes") == "yes";
+      if (!node_names.insert(node.name).second) reader.fault(at, "name: " + node.name + " is there twice");
+      node.address = private_address(at, "address");
+      fleet.control_nodes.push_back(std::move(node));
+    }
     if (at.name() != "keeper") continue;
     KeeperAt keeper;
     keeper.name = at.attribute("name").value_or("");
     if (!names.insert(keeper.name).second) reader.fault(at, "name: " + keeper.name + " is there twice");
-    const std::string control = at.attribute("control").value_or("");
-    if (const auto address = net::parse_address(control)) {
-      keeper.control = *address;
-      if (const std::string why = keeper::not_private(*address); !why.empty())
-        reader.fault(at, "control: " + control + " is " + why);
-      if (!addresses.insert(address->text()).second) reader.fault(at, "control: " + control + " is there twice");
-    } else {
-      reader.fault(at, "control: not an address with a port, nor a Unix socket: " + control);
-    }
+    keeper.control = private_address(at, "control");
     keeper.zone = at.attribute("zone").value_or("");
     if (std::find(fleet.zones.begin(), fleet.zones.end(), keeper.zone) == fleet.zones.end())
       reader.fault(at, "zone: there is no " + keeper.zone);
--- a/src/fleet/file.h
+++ b/src/fleet/file.h
@@ -17,10 +17,17 @@
   std::vector<std::string> groups;
 };
 
+struct ControlNodeAt {
+  std::string name, region;
+  net::Address address;
+  bool voter = true;  // else it only follows, and gives what it has
+};
+
 struct Fleet {
   std::string name;
   std::vector<std::string> zones, groups;
-  std::vector<KeeperAt> keepers;  // in the file's order
+  std::vector<ControlNodeAt> control_nodes;
+  std::vector<KeeperAt> keepers;  // both in the file's order
   const KeeperAt* find(const std::string& keeper) const;
 };
 
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 
 #include "config/fields.h"
+#include "fleet/configuration.h"
 #include "fleet/file.h"
 #include "fleet/rollout.h"
 #include "fleet/talk.h"
@@ -168,6 +169,52 @@
   return answer.status < 300 ? 0 : 1;
 }
 
+// The fleet's settings: words and what they stand for.
+struct ConfigurationCommands {
+  CLI::App *group = nullptr, *put = nullptr, *status = nullptr, *complete = nullptr;  // else show
+  std::string file;
+  fleet::Put what;
+  std::int64_t after = -1;
+  double wait_seconds = 0;
+  bool as_json = false;
+};
+
+template <typename WithFile>
+void add_configuration(CLI::App& app, const WithFile& with_file, ConfigurationCommands& out) {
+  out.group = app.add_subcommand("configuration", "The settings that all gatherers of the fleet run");
+  out.group->require_subcommand(1);
+  out.put = with_file(out.group->add_subcommand(
+      "put", "Bring a change to agreement; 0: agreed, 1: conflict or refused, 2: no majority, 4: unknown"));
+  out.put->add_option("SETTINGS", out.file, "The whole document (JSON)")->required();
+  out.put->add_option("--after", out.after, "The revision that it follows; refused where there is a newer one")
+      ->check(CLI::NonNegativeNumber);
+  out.put->add_option("--share", out.what.share, "For this share of the gatherers")
+      ->check(CLI::Range(0.0001, 1.0));
+  out.put->add_option("--author", out.what.author, "Who makes it; $USER otherwise");
+  out.put->add_option("--wait", out.wait_seconds, "Seconds to wait until it is in force everywhere")
+      ->check(CLI::Range(0.0, 3600.0));
+  out.status = with_file(out.group->add_subcommand("status", "Who runs what, and who refuses what"));
+  out.status->add_flag("--json", out.as_json, "As JSON");
+  out.complete = with_file(
+      out.group->add_subcommand("complete", "Finish what another change left accepted and not agreed"));
+  with_file(out.group->add_subcommand("show", "The newest revision, whole"));
+}
+
+int run_configuration(const Fleet& fleet, ConfigurationCommands& words) {
+  if (*words.status) return fleet::configuration_status(fleet, words.as_json);
+  if (*words.complete) return fleet::configuration_complete(fleet);
+  if (!*words.put) return fleet::configuration_show(fleet);
+  std::ifstream in(words.file);
+  words.what.document.assign(std::istreambuf_iterator<char>(in), {});
+  if (!in) {
+    std::cout << "refused: " << words.file << ": cannot be read" << std::endl;
+    return fleet::kExitConflict;
+  }
+  if (words.after >= 0) words.what.after = words.after;
+  words.what.wait = Span(static_cast<std::int64_t>(words.wait_seconds * 1e6));
+  return fleet::configuration_put(fleet, words.what);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -218,6 +265,8 @@
   CLI::App* const resume_command = with_folder(rollout->add_subcommand("resume", "On from there"));
   CLI::App* const back_command = with_folder(rollout->add_subcommand("back", "Take back what was changed"));
   CLI::App* const history_command = with_folder(rollout->add_subcommand("history", "Every step and order, with its time"));
+  ConfigurationCommands settings;
+  add_configuration(app, with_file, settings);
   CLI11_PARSE(app, count, words);
 
   if (*rollout_status_command) return fleet::rollout_status(folder, as_json);
@@ -231,6 +280,7 @@
     std::cout << file << ": good, " << fleet->keepers.size() << " keepers in " << fleet->zones.size() << " zones\n";
     return 0;
   }
+  if (*settings.group) return run_configuration(*fleet, settings);
   if (*plan_command || *start_command) {
     const rollout::Read plan = rollout::read_plan_file(plan_file);
     for (const config::Fault& fault : plan.faults) std::cerr << config::text_of(plan_file, fault) << '\n';
--- a/src/keeper/child.cpp
+++ b/src/keeper/child.cpp
@@ -251,7 +251,11 @@
   if (!readable || !pidfd_) return;
   int status = 0;
   std::string how = "status unknown";
-  if (own_ && waitpid(born_.pid, &status, 0) == born_.pid) how = how_of(status);
+  was_killed_ = false;
+  if (own_ && waitpid(born_.pid, &status, 0) == born_.pid) {
+    how = how_of(status);
+    was_killed_ = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+  }
   reading_->ready(true, false);  // what it said last comes before its end
   loop_.forget(pidfd_.get(), place_);
   pidfd_.close();
--- a/src/keeper/child.h
+++ b/src/keeper/child.h
@@ -58,6 +58,8 @@
   bool alive() const { return static_cast<bool>(pidfd_); }
   pid_t pid() const { return born_.pid; }
   const Born& born() const { return born_; }
+  // The last one was ended by SIGKILL: by somebody, not by what it ran.
+  bool was_killed() const { return was_killed_; }
   void signal(int which);
   void relabel(const std::string& version);  // for a later life of the keeper; as good as can be
   Usage usage() const;
@@ -74,6 +76,7 @@
   int slot_;
   Told told_;
   Born born_;
+  bool was_killed_ = false;
   bool own_ = false;  // a child of this very process, which reaps it
   net::Descriptor pidfd_;
   std::uint32_t place_ = 0;
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -104,7 +104,7 @@
                       log::event(log::Level::info, "gatherer.ended", {{"slot", i}, {"how", how}});
                       minder_->tick(loop_.now(), loop_.clock().wall());
                       // What it is started again with is settled first.
-                      if (settings_ && i == minder_->lead()) settings_->ended(slots_[i].stopping, how);
+                      tell_settings_ended(i, how);
                       minder_->ended(i, how);
                       carry_out();
                     },
@@ -198,6 +198,7 @@
         points::reach("term.after");
         break;
       case Act::What::kill:
+        slots_[act->slot].felled = true;
         slots_[act->slot].child->signal(SIGKILL);
         break;
       case Act::What::note:
@@ -263,7 +264,7 @@
   }
   slot.series.clear();
   slot.began_ms = loop_.clock().wall() / 1ms;
-  slot.stopping = false;
+  slot.stopping = slot.felled = false;
   slot.number = slot.windows = slot.missed = 0;
   slot.waits.clear();
   log::event(log::Level::info, "gatherer.began",
@@ -335,6 +336,13 @@
   send_hup_that_waited();
 }
 
+// An end by its own doing speaks against settings that it has just read; one by order or from outside does not.
+void Keeper::tell_settings_ended(int slot, const std::string& how) {
+  if (!settings_ || slot != minder_->lead()) return;
+  const bool from_outside = slots_[slot].child->was_killed() && !slots_[slot].felled;
+  settings_->ended(slots_[slot].stopping || from_outside, how);
+}
+
 // What a gatherer says it made of SIGHUP must be told apart: while it reads the fleet's settings, no swap of
 // versions has it read.
 void Keeper::hup(int slot) {
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -47,6 +47,7 @@
     totals::Series series;
     std::int64_t began_ms = 0;
     bool stopping = false;
+    bool felled = false;  // by this keeper, because it hung or did not come up
     std::uint64_t unreadable = 0, windows = 0, missed = 0, number = 0;
     std::uint64_t events = 0;
     std::string waits;  // settings that wait for a start, since the last SIGHUP
@@ -63,6 +64,7 @@
   void start_settings();
   Host host() const;
   void tick_settings();
+  void tell_settings_ended(int slot, const std::string& how);
   void hup(int slot);
   void send_hup_that_waited();
   void read_said(int slot, const nlohmann::json& event, bool taken);
--- a/src/keeper/settings_holder.cpp
+++ b/src/keeper/settings_holder.cpp
@@ -243,6 +243,7 @@
         return accept();
       }
       back_ = good_;
+      looking_ = true;
       return act(HolderAct::What::hup);
     case Do::keep:
       return keep();
@@ -251,6 +252,11 @@
     case Do::go_back:
       return go_back(why);
     case Do::read_back:
+      // Nothing speaks against one that was kept, and it may be in force: it is read once more.
+      if (std::exchange(looking_, false)) {
+        phase_ = HolderPhase::kept;
+        return keep();
+      }
       go_back(why);
       return act(HolderAct::What::hup);
     case Do::restore:
@@ -267,6 +273,7 @@
 void SettingsHolder::begin_try() {
   back_ = settings_;
   attempting_ = true;
+  looking_ = false;
   put(std::exchange(offered_, std::nullopt));
   act(HolderAct::What::hup);
 }
--- a/src/keeper/settings_holder.h
+++ b/src/keeper/settings_holder.h
@@ -73,7 +73,7 @@
   // What it made of SIGHUP.
   void taken(std::optional<std::int64_t> index);
   void refused(const std::string& why);
-  // The gatherer that served, or was to serve, has ended; `ordered`: by the keeper.
+  // The gatherer that served, or was to serve, has ended; `ordered`: by the keeper's order, or from outside.
   void ended(bool ordered, const std::string& how);
   // What became of write and write_good.
   void written(HolderAct::What what, const std::string& wrong);
@@ -117,6 +117,7 @@
   bool watched_ = false;  // there is a receiver
   bool unsaved_ = false, good_unsaved_ = false;
   bool attempting_ = false;  // a new revision is being written
+  bool looking_ = false;     // what is tried was kept before
   Span offered_since_{};
   Span write_next_{};
   std::string write_wrong_;
