--- a/src/keeper/settings_holder.cpp
+++ b/src/keeper/settings_holder.cpp
@@ -118,6 +118,10 @@
 }
 
 void SettingsHolder::offered(const Revision& revision) {
+  if (phase_ == HolderPhase::trying && looking_) {
+    next_offer_ = revision;
+    return;
+  }
   awaited_ = true;
   if (refusal_ && refusal_->index == revision.index && refusal_->digest == revision.digest)
     return tell_refused(revision, refusal_->why);
@@ -143,6 +147,18 @@
     if (unsaved_ && phase_ != HolderPhase::waiting) act(HolderAct::What::write, settings_);
     if (good_unsaved_) act(HolderAct::What::write_good, good_);
   }
+  // While another one waits, the one that a gatherer runs proves itself.
+  if (phase_ == HolderPhase::waiting && !same(settings_, good_) && settings_ &&
+      running_ == settings_->index && now_ - running_since_ >= policy_.probation)
+    put_good(settings_);
+  if (next_offer_ && phase_ != HolderPhase::trying) {
+    const Revision next = *std::exchange(next_offer_, std::nullopt);
+    return offered(next);
+  }
+  if (running_ && settings_ && running_ == settings_->index) {
+    if (phase_ == HolderPhase::kept) on(HolderEvent::ready);
+    if (phase_ == HolderPhase::trying) on(HolderEvent::taken);
+  }
   const bool held_up = phase_ == HolderPhase::waiting && now_ < write_next_;
   if ((phase_ == HolderPhase::waiting && !held_up) || phase_ == HolderPhase::kept) {
     if (host == Host::ready) on(HolderEvent::ready);
@@ -156,8 +172,13 @@
      phase_ == HolderPhase::waiting ? held_up_by : "the gatherer did not say what it made of the settings");
 }
 
-void SettingsHolder::taken(std::optional<std::int64_t> index) {
+void SettingsHolder::runs(std::optional<std::int64_t> index) {
+  if (running_ != index) running_since_ = now_;
   running_ = index;
+}
+
+void SettingsHolder::taken(std::optional<std::int64_t> index) {
+  runs(index);
   if (phase_ != HolderPhase::trying) return;
   if (!index)
     return on(HolderEvent::refused, "the gatherer was started without settings for the fleet; start it anew");
@@ -193,6 +214,7 @@
   }
   acts_.clear();
   offered_ = std::exchange(settings_, back_);
+  back_ = good_;
   phase_ = HolderPhase::waiting;
 }
 
@@ -271,6 +293,7 @@
 }
 
 void SettingsHolder::begin_try() {
+  if (settings_ && running_ == settings_->index && !same(settings_, good_)) put_good(settings_);
   back_ = settings_;
   attempting_ = true;
   looking_ = false;
@@ -279,9 +302,11 @@
 }
 
 void SettingsHolder::keep() {
-  back_ = good_;
   attempting_ = offered_.has_value();
-  if (offered_) put(std::exchange(offered_, std::nullopt));
+  if (offered_) {
+    back_ = settings_;
+    put(std::exchange(offered_, std::nullopt));
+  }
   tell_applied();
 }
 
@@ -320,6 +345,7 @@
   act(HolderAct::What::note, {}, "revision " + std::to_string(revision.index) + " refused: " + why);
   if (std::exchange(awaited_, false)) return act(HolderAct::What::refused, {}, why);
   watched_ = true;
+  next_offer_.reset();
   act(HolderAct::What::watch, settings_);
 }
 
--- a/src/keeper/settings_holder.h
+++ b/src/keeper/settings_holder.h
@@ -69,7 +69,7 @@
   void offered(const Revision& revision);  // by the receiver, which waits for applied or refused
   void tick(Span now, Host host);
   // The gatherer that serves says which revision it runs; none: it knows nothing of revisions.
-  void runs(std::optional<std::int64_t> index) { running_ = index; }
+  void runs(std::optional<std::int64_t> index);
   // What it made of SIGHUP.
   void taken(std::optional<std::int64_t> index);
   void refused(const std::string& why);
@@ -110,6 +110,7 @@
   HolderPhase phase_ = HolderPhase::idle;
   std::optional<Revision> settings_, good_;  // as they are to be on disk
   std::optional<Revision> offered_;          // not written yet, while waiting
+  std::optional<Revision> next_offer_;       // that came while one that was kept is read once more
   std::optional<Revision> back_;             // what is put back where `settings_` fails
   std::optional<Refusal> refusal_;
   std::optional<std::int64_t> running_;
@@ -118,7 +119,7 @@
   bool unsaved_ = false, good_unsaved_ = false;
   bool attempting_ = false;  // a new revision is being written
   bool looking_ = false;     // what is tried was kept before
-  Span offered_since_{};
+  Span offered_since_{}, running_since_{};
   Span write_next_{};
   std::string write_wrong_;
   std::uint64_t impossible_ = 0;
