--- a/src/fleet/spread.cpp
+++ b/src/fleet/spread.cpp
@@ -72,6 +72,9 @@
   }
 }
 
+// One that has taken a newer revision since refuses nothing any more.
+bool refuses(const ReceiverSeen& one) { return one.refused > one.index; }
+
 std::string names(const std::vector<std::string>& all) {
   std::string out;
   for (std::size_t i = 0; i < std::min(all.size(), kMostNamed); ++i) out += (i == 0 ? "" : " ") + all[i];
@@ -119,7 +122,7 @@
   std::map<std::int64_t, std::size_t> counted;
   for (const ReceiverSeen& one : spread.receivers) {
     if (one.heard_ms_ago <= kAbsentMs) counted[one.index] += 1;
-    if (one.refused == 0) continue;
+    if (!refuses(one)) continue;
     refusing.push_back({{"name", one.name}, {"zone", one.zone}, {"refused", one.refused}, {"why", one.why}});
   }
   for (const auto& [index, count] : counted) by_index[std::to_string(index)] = count;
@@ -155,7 +158,7 @@
   for (const auto& [index, count] : sums["receivers_by_index"].items())
     out.push_back("revision " + index + ": " + std::to_string(count.get<std::size_t>()) + " keepers");
   for (const ReceiverSeen& one : spread.receivers) {
-    if (one.refused != 0)
+    if (refuses(one))
       out.push_back("REFUSED by " + one.name + ": revision " + std::to_string(one.refused) + ": " + one.why);
   }
   if (!spread.behind.empty()) out.push_back("not there yet: " + names(spread.behind));
--- a/tests/configuration.sh
+++ b/tests/configuration.sh
@@ -78,6 +78,19 @@
 head -c 300 "$dir/6.json" > "$dir/half.json"
 sleep 1.5
 
+echo "-- a file with faults"
+cat > "$dir/bad.xml" <<'XML'
+<fleet xmlns="urn:marbledyke:fleet:1" name="bad"><zone name="a"/>
+  <control-node name="c0" address="127.0.0.1:7720" region="r"/>
+  <control-node name="c0" address="127.0.0.1:7720" region="r"/>
+  <control-node name="c2" address="0.0.0.0:7720" region="r"/>
+  <control-node name="c3" address="nowhere" region="r" voter="perhaps"/>
+  <keeper name="m0" control="127.0.0.1:7700" zone="a"/>
+</fleet>
+XML
+fleet check "$dir/bad.xml" 2>&1 | sed "s|$dir|DIR|" || true
+sed -i 's/ voter="perhaps"//' "$dir/bad.xml"
+fleet check "$dir/bad.xml" 2>&1 | sed "s|$dir|DIR|" || true
 echo "-- one change"
 settled put "$f" "$dir/6.json" --author ann --wait 8
 want=runs:1.*runs:1
