--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -296,11 +296,11 @@
       if (settings_ && number == minder_->lead()) settings_->runs(settings_index_of(event));
       minder_->serves(number);
     } else if (name == "configuration.refused") {
-      read_said(number, event, false);
+      read_said(number, false, settings_index_of(event), stated_or(event, "why", ""));
     } else if (name == "configuration.waits_for_start") {
       slot.waits = stated_or(event, "key", "");
     } else if (name == "configuration.read_again") {
-      read_said(number, event, true);
+      read_said(number, true, settings_index_of(event), slot.waits);
     }
   } catch (const config::BadInput&) {
     slot.unreadable += 1;
@@ -309,67 +309,6 @@
   tick_settings();
 }
 
-// ---- the fleet's settings ----
-
-void Keeper::start_settings() {
-  if (options_.settings.control_nodes.empty()) return;
-  HolderPolicy policy;
-  const Policy& swaps = options_.policy;
-  policy.read_limit = swaps.read_limit;
-  // A swap, and the way back.
-  policy.wait_limit = 2 * (swaps.read_limit + swaps.start_limit + swaps.prove_limit) + swaps.stop_limit;
-  settings_ = std::make_unique<SettingsKeeper>(loop_, disk_, options_.folder, options_.name, options_.settings,
-                                               policy, [this] { hup(minder_->lead()); });
-}
-
-Host Keeper::host() const {
-  const Minder& m = *minder_;
-  const Life lead = m.life(m.lead()), other = m.life(1 - m.lead());
-  if (lead == Life::none && other == Life::none) return Host::absent;
-  const bool swapping = m.swap() != Swap::none && m.swap() != Swap::trial;
-  return lead == Life::serving && !swapping ? Host::ready : Host::busy;
-}
-
-void Keeper::tick_settings() {
-  if (!settings_) return;
-  settings_->tick(host());
-  send_hup_that_waited();
-}
-
-// An end by its own doing speaks against settings that it has just read; one by order or from outside does not.
-void Keeper::tell_settings_ended(int slot, const std::string& how) {
-  if (!settings_ || slot != minder_->lead()) return;
-  const bool from_outside = slots_[slot].child->was_killed() && !slots_[slot].felled;
-  settings_->ended(slots_[slot].stopping || from_outside, how);
-}
-
-// What a gatherer says it made of SIGHUP must be told apart: while it reads the fleet's settings, no swap of
-// versions has it read.
-void Keeper::hup(int slot) {
-  if (settings_ && settings_->trying() && minder_->swap() != Swap::none && minder_->swap() != Swap::trial) {
-    hup_waits_ = slot;
-    return;
-  }
-  slots_[slot].waits.clear();
-  points::reach("hup.before");
-  slots_[slot].child->signal(SIGHUP);
-}
-
-void Keeper::send_hup_that_waited() {
-  if (!hup_waits_ || settings_->trying()) return;
-  const int slot = *std::exchange(hup_waits_, std::nullopt);
-  if (minder_->swap() == Swap::reading || minder_->swap() == Swap::back_reading) hup(slot);
-}
-
-void Keeper::read_said(int number, const json& event, bool taken) {
-  const std::string& waits = slots_[number].waits;
-  const std::string why = stated_or(event, "why", "");
-  if (!settings_ || !settings_->trying() || number != minder_->lead())
-    return minder_->read_said(number, taken, !waits.empty(), taken ? waits : why);
-  if (taken) return settings_->taken(settings_index_of(event), waits);
-  settings_->refused(why);
-}
-
 void Keeper::ask_health() {
   health_next_ = loop_.now() + kHealthEvery;
   if (health_) {
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -67,7 +67,7 @@
   void tell_settings_ended(int slot, const std::string& how);
   void hup(int slot);
   void send_hup_that_waited();
-  void read_said(int slot, const nlohmann::json& event, bool taken);
+  void read_said(int slot, bool taken, std::optional<std::int64_t> index, const std::string& why);
   void take_some();
   void try_out(const std::string& version);
   Reply order(const std::string& body);
