--- a/src/list/news.h
+++ b/src/list/news.h
@@ -25,7 +25,7 @@
   int skipped = 0;                                // entries that cannot be read
   std::set<std::string, std::less<>> unreadable;  // their names, of those that have one
   std::string fault;                              // of the first of them: its name and what is wrong
-  int odd_addresses = 0;  // further addresses that made none; their entries stand
+  int odd_addresses = 0;                          // further addresses that made none; their entries stand
 };
 
 // unix_start is the Unix time at which the gatherer's own clock stood at zero. Throws config::BadInput where
