--- a/src/lab/experiments.cpp
+++ b/src/lab/experiments.cpp
@@ -17,6 +17,7 @@
 
 #include "emulator/policy.h"
 #include "emulator/world.h"
+#include "lab/target_load.h"
 
 namespace marbledyke::lab {
 namespace {
@@ -351,7 +352,7 @@
       {"policies", policies},   {"overload", overload}, {"recovery", recovery},
       {"gatherers", gatherers}, {"size", size},         {"loss", loss},
       {"jams", jams},           {"fleets", fleets},     {"returns", returns},
-      {"small", small}};
+      {"target-load", target_load}, {"small", small}};
   return kMakers;
 }
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -11,6 +11,7 @@
 
 #include "emulator/policy.h"
 #include "emulator/world.h"
+#include "lab/capacity.h"
 #include "lab/experiments.h"
 #include "lab/keepers.h"
 #include "lab/rollouts.h"
@@ -188,6 +189,12 @@
   }
   load->add_option("--op-type", load_options.op_type);
   load->add_option("--shards", load_options.shards)->check(CLI::Range(1, 1024));
+  lab::CapacityOptions capacity_options;
+  CLI::App* const capacity =
+      app.add_subcommand("capacity", "The tables of docs/CAPACITY.md, from kept slopes");
+  capacity->add_option("--slopes", capacity_options.slopes, "The slopes that a scale run kept");
+  capacity->add_option("--check", capacity_options.check, "A page; 1 where its tables are others");
+  capacity->add_option("--write", capacity_options.write, "A page, whose tables are replaced");
   CLI11_PARSE(app, count, words);
 
   if (*check) {
@@ -255,6 +262,7 @@
     return lab::measure_keepers(measures, directory, stopped);
   }
   if (*twins_of) return twins(name, seed);
+  if (*capacity) return lab::run_capacity(capacity_options);
   if (*list) {
     for (const std::string& each : lab::experiment_names()) {
       const lab::Experiment e = lab::make_experiment(each, 1);
