Lab: scale, a run of one real gatherer beside hollow servers and a hollow list

The new sub-command measures, for one real gatherer, what a list of 100 to 20,000 servers costs it and what traffic over 300 to 3,900 servers costs it. Hollow servers share a process and answer from real sockets; the hollow list tells one change, a whole list or a region's return on demand. Every point is kept in runs.csv; results, slopes, report and charts are made from it. standins::Load asks as many shards of a multiget as it is told; two, as before, where nothing is said.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -14,6 +14,7 @@
 #include "lab/experiments.h"
 #include "lab/keepers.h"
 #include "lab/rollouts.h"
+#include "lab/scale/command.h"
 #include "lab/sockets.h"
 #include "lab/stage.h"
 #include "scenario/draw.h"
@@ -188,8 +189,11 @@
   }
   load->add_option("--op-type", load_options.op_type);
   load->add_option("--shards", load_options.shards)->check(CLI::Range(1, 1024));
+  const lab::scale::Command scale(app);
   CLI11_PARSE(app, count, words);
 
+  if (scale.is_scale()) heed_signals();
+  if (const auto status = scale.run(stopped)) return *status;
   if (*check) {
     if (!read(file)) return 1;
     std::cout << file << ": good\n";
--- /dev/null
+++ b/src/lab/scale/health_probe.cpp
@@ -0,0 +1,61 @@
+#include "lab/scale/health_probe.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace marbledyke::lab::scale {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Span kBetween = 1ms;  // short against the turns that are looked for
+constexpr std::size_t kMostBytes = 64 * 1024;
+
+}  // namespace
+
+HealthProbe::HealthProbe(net::Loop& loop, const net::Address& gatherer)
+    : loop_(loop), reader_(net::HttpReader::Kind::answer, kMostBytes) {
+  net::Descriptor fd = net::start_connect(gatherer);
+  if (!fd) {
+    broken_ = true;
+    return;
+  }
+  stream_ = std::make_unique<net::Stream>(
+      loop_, std::move(fd), false, kMostBytes, kMostBytes,
+      net::Stream::Told{[this] { ask(); }, [this] { arrived(); }, nullptr, [this](bool) { broken_ = true; }});
+}
+
+HealthProbe::~HealthProbe() {
+  if (next_) loop_.cancel(*next_);
+}
+
+Span HealthProbe::longest() const { return asked_ ? std::max(longest_, loop_.now() - *asked_) : longest_; }
+
+void HealthProbe::ask() {
+  asked_ = loop_.now();
+  stream_->out().put("GET /healthz HTTP/1.1\r\nHost: lab\r\n\r\n");
+  stream_->flush();
+}
+
+void HealthProbe::arrived() {
+  net::Ring& in = stream_->in();
+  while (!in.empty() && !broken_) {
+    in.drop(reader_.take(in.front()));
+    if (reader_.state() == net::HttpReader::State::reading) continue;
+    const bool stays = reader_.state() == net::HttpReader::State::done && reader_.message().stays();
+    reader_.restart();
+    if (!asked_ || !stays) {
+      broken_ = true;
+      return;
+    }
+    longest_ = std::max(longest_, loop_.now() - *asked_);
+    asked_.reset();
+    answers_ += 1;
+    next_ = loop_.at(loop_.now() + kBetween, [this] {
+      next_.reset();
+      ask();
+    });
+  }
+}
+
+}  // namespace marbledyke::lab::scale
--- a/src/standins/load.cpp
+++ b/src/standins/load.cpp
@@ -110,10 +110,13 @@
   if (!connection.request) return;
   if (!connection.limit) begin(connection);
   const auto first = static_cast<int>(chance_() % static_cast<unsigned>(options_.shards));
-  std::string slices = "{\"slice\":" + std::to_string(first) + ",\"mass\":1}";
-  if (options_.shards > 1)
-    slices = "{\"slice\":" + std::to_string(first) +
-             ",\"mass\":0.5},{\"slice\":" + std::to_string((first + 1) % options_.shards) + ",\"mass\":0.5}";
+  const int parts = std::min(options_.parts, options_.shards);
+  char mass[32];
+  std::snprintf(mass, sizeof mass, "%.9g", 1.0 / parts);
+  std::string slices;
+  for (int i = 0; i < parts; ++i)
+    slices += (i == 0 ? "{\"slice\":" : ",{\"slice\":") + std::to_string((first + i) % options_.shards) +
+              ",\"mass\":" + mass + "}";
   const std::string body = "{\"slices\":[" + slices + "],\"filter\":\"c41e77d0\"}";
   // The client's time is up by when the request was due.
   const auto left =
--- a/src/standins/load.h
+++ b/src/standins/load.h
@@ -23,7 +23,8 @@
   int seconds = 10;
   std::uint32_t seed = 1;
   std::string op_type = "look";
-  int shards = 2;  // of which each multiget asks two, where there are two
+  int shards = 2;
+  int parts = 2;  // shards that each multiget asks, in a row from a drawn one; all where there are fewer
   int timeout_ms = 2000;
   bool may_repeat = false;  // a request that crossed with the end of its connection is sent once more
 };
