Lab: scale measures changes of settings from control nodes to hollow receivers

Six control nodes as real processes in two regions, relays between the regions, hollow receivers that run the shipped receiver in racks of up to 40 a process over five zones. Measured: how soon a change is in force, at an ordinary rate, one by one and at a hundred times that; what it costs nodes and receivers; and the same while a node dies or hangs, a rack or a zone is lost and comes back, the regions are cut apart, and one receiver is slow and one stands still. A receiver that ever ran a revision which was not newer than the one before is counted. Real keepers are not among them yet.

--- a/src/lab/scale/charts.cpp
+++ b/src/lab/scale/charts.cpp
@@ -21,7 +21,8 @@
     out += std::to_string(row.size) + ' ' + std::to_string(row.value) + ' ' + std::to_string(row.low) + ' ' +
            std::to_string(row.high) + '\n';
   }
-  return out.empty() ? out : "$" + what + " << END\n" + out + "END\n";
+  if (std::count(out.begin(), out.end(), '\n') < 2) return {};  // no curve
+  return "$" + what + " << END\n" + out + "END\n";
 }
 
 std::string panel_script(const Panel& panel) {
--- a/src/lab/scale/command.h
+++ b/src/lab/scale/command.h
@@ -22,7 +22,9 @@
  private:
   CLI::App* scale_;
   CLI::App* servers_;
+  CLI::App* receivers_;
   Options options_;
+  std::string spec_;
   int first_ = 0, count_ = 1, port_ = 0, service_ms_ = 0;
 };
 
--- a/src/lab/scale/installation.cpp
+++ b/src/lab/scale/installation.cpp
@@ -72,12 +72,16 @@
   fs::remove_all(path_, ignored);
 }
 
+nlohmann::json gatherer_settings() {
+  nlohmann::json out = standins::plain_settings(kPartsPerMultiget);
+  out["specifics"]["sets"] = kPartsPerMultiget;
+  out.erase("registry-mode");  // the list is watched from the start
+  return out;
+}
+
 nlohmann::json gatherer_configuration(const std::string& name, const net::Address& listen,
                                       const net::Address& discovery) {
-  nlohmann::json settings = standins::plain_settings(kPartsPerMultiget);
-  settings["specifics"]["sets"] = kPartsPerMultiget;
-  settings.erase("registry-mode");  // the list is watched from the start
-  nlohmann::json out = standins::configuration(name, listen, discovery, "{}", std::move(settings));
+  nlohmann::json out = standins::configuration(name, listen, discovery, "{}", gatherer_settings());
   out.erase("known");
   out["limits"]["sockets"] = kGathererSockets;
   out["limits"]["memory_mb"] = 1024;
--- a/src/lab/scale/installation.h
+++ b/src/lab/scale/installation.h
@@ -53,7 +53,9 @@
   standins::Gatherer process_;
 };
 
-// Its configuration: one list that is watched, as many cells and shards as a multiget has parts.
+// Operators' terms for as many cells and shards as a multiget has parts.
+nlohmann::json gatherer_settings();
+// A gatherer's configuration with these terms: one list that is watched from the start.
 nlohmann::json gatherer_configuration(const std::string& name, const net::Address& listen,
                                       const net::Address& discovery);
 
--- a/src/lab/scale/report.cpp
+++ b/src/lab/scale/report.cpp
@@ -120,40 +120,73 @@
   return out;
 }
 
-// One table for a part: a line for each quantity, a column for each size.
-std::string part_table(const std::string& part, const std::vector<Row>& rows) {
+// Quantities of a part that were measured at the same sizes, or at some of them.
+struct Table {
   std::set<int> sizes;
   std::vector<std::string> whats;
+};
+
+std::vector<Table> tables_of(const std::string& part, const std::vector<Row>& rows) {
+  std::vector<std::pair<std::string, std::set<int>>> quantities;
   for (const Row& row : rows) {
     if (row.part != part) continue;
-    sizes.insert(row.size);
-    if (std::find(whats.begin(), whats.end(), row.what) == whats.end()) whats.push_back(row.what);
+    const auto at = std::find_if(quantities.begin(), quantities.end(),
+                                 [&](const auto& one) { return one.first == row.what; });
+    if (at == quantities.end()) {
+      quantities.push_back({row.what, {row.size}});
+    } else {
+      at->second.insert(row.size);
+    }
   }
+  const auto holds = [](const std::set<int>& more, const std::set<int>& less) {
+    return std::includes(more.begin(), more.end(), less.begin(), less.end());
+  };
+  std::vector<Table> out;
+  for (const auto& [what, sizes] : quantities) {
+    auto at = out.begin();
+    while (at != out.end() && !holds(at->sizes, sizes) && !holds(sizes, at->sizes)) ++at;
+    if (at == out.end()) at = out.insert(at, Table{});
+    at->sizes.insert(sizes.begin(), sizes.end());
+    at->whats.push_back(what);
+  }
+  return out;
+}
+
+std::string cell_text(const Row& row) {
+  std::string out = short_number(row.value);
+  if (row.runs > 1) out += " (" + short_number(row.low) + " to " + short_number(row.high) + ")";
+  return out;
+}
+
+// A line for each quantity, a column for each size.
+std::string table_text(const std::string& part, const Table& table, const std::vector<Row>& rows) {
   std::string out = "| | unit |", line = "| --- | --- |";
-  for (const int size : sizes) {
+  for (const int size : table.sizes) {
     out += ' ' + std::to_string(size) + " |";
     line += " --- |";
   }
   out += '\n' + line + '\n';
-  for (const std::string& what : whats) {
+  for (const std::string& what : table.whats) {
     std::string unit, cells;
-    for (const int size : sizes) {
+    for (const int size : table.sizes) {
       const auto at = std::find_if(rows.begin(), rows.end(), [&](const Row& row) {
         return row.part == part && row.size == size && row.what == what;
       });
-      cells += ' ';
-      if (at != rows.end()) {
-        unit = at->unit;
-        cells += short_number(at->value);
-        if (at->runs > 1) cells += " (" + short_number(at->low) + " to " + short_number(at->high) + ")";
-      }
-      cells += " |";
+      if (at != rows.end()) unit = at->unit;
+      cells += (at == rows.end() ? std::string() : " " + cell_text(*at)) + " |";
     }
     out += "| " + what + " | " + unit + " |" + cells + '\n';
   }
   return out;
 }
 
+std::string part_tables(const std::string& part, const std::vector<Row>& rows) {
+  std::string out;
+  for (const Table& table : tables_of(part, rows))
+    out += (out.empty() ? "" : "\n") + table_text(part, table, rows);
+  return out;
+}
+
 const char* what_a_part_is(const std::string& part) {
   if (part == "lists")
     return "One real gatherer beside a list of hollow servers, no traffic; columns: servers listed. A run "
@@ -173,7 +206,7 @@
 }
 
 std::string report_text(const Results& results, const std::vector<Row>& rows,
-                        const std::vector<Slope>& slopes) {
+                        const std::vector<Slope>& slopes, const std::vector<Chart>& charts) {
   std::string out =
       "# Scale run\n\n`marbledyke-lab scale`; docs/lab.md says how it is run. Everything is on loopback of "
       "one "
@@ -191,8 +224,10 @@
     }
     out += std::string(what_a_part_is(part)) + "\n\nRun at " + at->begun + " UTC for " +
            std::to_string(at->seconds) + " s" + (at->quick ? ", **the quick version**" : "") + "; " +
-           at->machine + "; load average at the begin " + at->load + ".\n\n" + part_table(part, rows);
-    if (fs::path chart = part + ".svg"; true) out += "\n![" + part + "](" + chart.string() + ")\n";
+           at->machine + "; load average at the begin " + at->load + ".\n\n" + part_tables(part, rows);
+    const bool drawn =
+        std::any_of(charts.begin(), charts.end(), [&](const Chart& c) { return c.name == part; });
+    if (drawn) out += "\n![" + part + "](" + part + ".svg)\n";
   }
   out +=
       "\n## Slopes\n\nvalue = intercept + slope x size. The bounds are the least and the greatest slope of "
@@ -232,12 +267,13 @@
   const fs::path to = folder;
   const std::vector<Row> rows = rows_of(results.points);
   const std::vector<Slope> slopes = slopes_of(results.points);
+  const std::vector<Chart> charts = charts_of(rows);
   write_file(to / "runs.csv", points_text(results.points));
   write_file(to / "conditions.csv", conditions_text(results.conditions));
   write_file(to / "results.csv", results_text(rows));
   write_file(to / "slopes.csv", slopes_text(slopes));
-  write_file(to / "report.md", report_text(results, rows, slopes));
-  for (const Chart& chart : charts_of(rows)) {
+  write_file(to / "report.md", report_text(results, rows, slopes, charts));
+  for (const Chart& chart : charts) {
     write_file(to / (chart.name + ".gp"), chart.script);
     const std::string draw = "cd '" + folder + "' && gnuplot " + chart.name + ".gp";
     if (std::system(draw.c_str()) != 0) std::cerr << "marbledyke-lab: no chart: gnuplot did not run\n";
--- a/src/lab/scale/run.h
+++ b/src/lab/scale/run.h
@@ -31,5 +31,6 @@
 // with what was measured, once `stop` is set.
 void measure_lists(const Run& run);
 void measure_load(const Run& run);
+void measure_settings(const Run& run);
 
 }  // namespace marbledyke::lab::scale
--- a/src/lab/scale/scale.cpp
+++ b/src/lab/scale/scale.cpp
@@ -18,7 +18,7 @@
   const char* name;
   void (*measure)(const Run&);
 };
-constexpr Part kParts[] = {{"lists", measure_lists}, {"load", measure_load}};
+constexpr Part kParts[] = {{"lists", measure_lists}, {"load", measure_load}, {"settings", measure_settings}};
 
 // The results with this part's points and conditions in place of the former ones.
 void replace(Results& kept, const Conditions& conditions, const std::vector<Point>& points) {
