--- a/src/lab/kept.cpp
+++ b/src/lab/kept.cpp
@@ -17,8 +17,8 @@
 using nlohmann::json;
 namespace fs = std::filesystem;
 
-Kept::Kept(net::Loop& loop, const std::string& name, const net::Address& control, const json& configuration)
-    : loop_(loop), name_(name), control_(control) {
+Kept::Kept(net::Loop& loop, const std::string& name, const net::Address& control, const json& configuration, KeptProgram its_program)
+    : loop_(loop), name_(name), program_(std::move(its_program)), control_(control) {
   std::string made = (fs::temp_directory_path() / "marbledyke-kept-XXXXXX").string();
   if (mkdtemp(made.data()) == nullptr) throw std::system_error(errno, std::generic_category(), made);
   folder_ = made;
@@ -61,10 +61,11 @@
 
 void Kept::start_keeper() {
   if (keeper_.pid() > 0 && !keeper_.ended()) return;
-  keeper_.start({rig::program("marbledyke-keeper-bent"), "--folder", folder_ + "/k", "--control", control_.text(),
+  std::vector<std::string> words{rig::program(program_.name), "--folder", folder_ + "/k", "--control", control_.text(),
                  "--name", name_, "--prove", "0.3", "--prove-limit", "5", "--start-limit", "5", "--first-wait",
-                 "0.05", "--longest-wait", "1", "--most-strikes", "30", "--silent-after", "6"},
-                {{"MARBLEDYKE_BENT", folder_ + "/bends"}}, folder_ + "/log");
+                 "0.05", "--longest-wait", "1", "--most-strikes", "30", "--silent-after", "6"};
+  words.insert(words.end(), program_.words.begin(), program_.words.end());
+  keeper_.start(words, {{"MARBLEDYKE_BENT", folder_ + "/bends"}}, folder_ + "/log");
 }
 
 rig::Answer Kept::order(json what, Span limit) {
--- a/src/lab/scale/lists.cpp
+++ b/src/lab/scale/lists.cpp
@@ -18,7 +18,7 @@
 constexpr Span kQuiet = 1s;  // after a list came, before memory is read
 constexpr Span kBetweenChanges = 5ms;
 constexpr Span kInForceLimit = 10s;  // of one change or one whole list
-constexpr Span kIdleWindow = 2s;
+
 constexpr Span kCutOff = 100ms;
 constexpr std::size_t kRegionReturn = 2000;  // list changes of a cut between regions (issue 38)
 
@@ -39,7 +39,8 @@
     gatherer_.wait_until_current(list_);
     rig::run_for(run_.loop, kQuiet);
     add("memory", "MB", resident_megabytes(gatherer_.pid()));
-    const double idle_share = measure_idle();
+    const double idle_share = measure_idle(plan.idle);
+
     measure_changes(plan.changes, idle_share);
     measure_wholes(plan.wholes);
     measure_region_return();
@@ -65,10 +66,10 @@
     return list_.named_at() - told;
   }
 
-  double measure_idle() {
+  double measure_idle(Span window) {
     const double before = cpu();
-    rig::run_for(run_.loop, kIdleWindow);
-    const double share = (cpu() - before) / (milliseconds(kIdleWindow) / 1000);
+    rig::run_for(run_.loop, window);
+    const double share = (cpu() - before) / (milliseconds(window) / 1000);
     add("idle_core", "share", share);
     return share;
   }
--- a/src/lab/scale/options.cpp
+++ b/src/lab/scale/options.cpp
@@ -7,8 +7,8 @@
 using namespace std::chrono_literals;
 
 ListsPlan lists_plan(const Options& options) {
-  if (options.quick) return {{50, 200}, 1, 20, 1};
-  return {{100, 400, 1300, 3900, 20'000}, 5, 300, 5};
+  if (options.quick) return {{50, 200}, 1, 20, 1, 500ms};
+  return {{100, 400, 1300, 3900, 20'000}, 5, 300, 5, 2s};
 }
 
 LoadPlan load_plan(const Options& options) {
--- a/src/lab/scale/options.h
+++ b/src/lab/scale/options.h
@@ -27,6 +27,7 @@
   int runs = 1;     // each with a gatherer of its own
   int changes = 0;  // of a run
   int wholes = 0;   // whole lists of a run
+  Span idle{};      // window without any change
 };
 
 struct LoadPlan {
--- a/src/lab/scale/scale.cpp
+++ b/src/lab/scale/scale.cpp
@@ -65,6 +65,7 @@
   }
   bool whole = true;
   try {
+    read_results(options.out);  // what cannot be kept is refused before anything is measured
     for (const Part& part : kParts) {
       if (options.part != "all" && options.part != part.name) continue;
       whole = !stop && measure_part(part, options, stop) && whole;
--- a/src/lab/scale/settings.cpp
+++ b/src/lab/scale/settings.cpp
@@ -41,7 +41,7 @@
   void first_change() {
     one_.say("the first change");
     const ChangeMaker::Made made = fleet_.change();
-    fleet_.wait_until_in_force(made.index, everywhere);
+    fleet_.wait_everywhere(made.index);
     one_.add("first", 1, fleet_.in_force(made, everywhere));
     settle();
   }
@@ -53,10 +53,13 @@
 
   void measure_quiet() {
     one_.say("no changes");
+    const RealKeepers::Use used = fleet_.keepers().use();
     const ControlUse before = control_use(fleet_.plane());
     rig::run_for(fleet_.loop(), one_.plan.quiet);
     const ControlUse after = control_use(fleet_.plane());
     quiet_core_ = share_between(before, after);
+    quiet_keeper_ = keeper_share(used, before, after);
+    one_.add("keeper_core_quiet", "share", 1, quiet_keeper_);
     quiet_traffic_ = traffic_between(fleet_, before.us, after.us);
     one_.add("control_core_quiet", "share", 1, quiet_core_.mean);
     if (quiet_traffic_.seconds <= 0) return;
@@ -71,10 +74,13 @@
     one_.say("changes at 2300 a day");
     const std::int64_t begun = machine_microseconds();
     for (int i = 1; i <= ordinary_changes() && !one_.run.stop; ++i) {
+      const RealKeepers::Use used = fleet_.keepers().use();
       const ControlUse before = control_use(fleet_.plane());
       const ChangeMaker::Made made = fleet_.change();
-      fleet_.wait_until_in_force(made.index, everywhere);
+      fleet_.wait_everywhere(made.index);
+      one_.add("ordinary_keepers_last", "s", i, quantile(fleet_.keepers().in_force_after(made.agreed_us), 1));
       run_until_due(fleet_.loop(), before.us, one_.plan.ordinary_gap);
+      add_keepers(i, used, before);
       one_.add("agreement", "s", i, seconds(made.took));
       one_.add("ordinary", i, fleet_.in_force(made, everywhere));
       add_use("ordinary", i, before);
@@ -82,6 +88,24 @@
     add_worst_minute(begun);
   }
 
+  // Of a keeper and its gatherer together, as a share of a core between two moments.
+  double keeper_share(const RealKeepers::Use& used, const ControlUse& before, const ControlUse& after) const {
+    const RealKeepers::Use now = fleet_.keepers().use();
+    const double cpu = now.keeper_cpu - used.keeper_cpu + now.gatherer_cpu - used.gatherer_cpu;
+    return cpu * kMicroseconds / static_cast<double>(after.us - before.us);
+  }
+
+  void add_keepers(int number, const RealKeepers::Use& used, const ControlUse& before) {
+    const double both = keeper_share(used, before, control_use(fleet_.plane()));
+    const RealKeepers::Use now = fleet_.keepers().use();
+    const double own = (now.keeper_cpu - used.keeper_cpu) * kMicroseconds /
+                       static_cast<double>(machine_microseconds() - before.us);
+    one_.add("keeper_core", "share", number, own);
+    one_.add("keeper_and_gatherer_core", "share", number, both);
+    one_.add("keeper_memory", "MB", number, now.keeper_memory);
+    one_.add("keeper_and_gatherer_memory", "MB", number, now.keeper_memory + now.gatherer_memory);
+  }
+
   void add_use(const std::string& prefix, int number, const ControlUse& before) {
     const ControlUse after = control_use(fleet_.plane());
     const ControlShare share = share_between(before, after);
@@ -114,14 +138,18 @@
     one_.say("changes one by one");
     const ControlUse begun = control_use(fleet_.plane());
     for (int i = 1; i <= one_.plan.spaced_changes && !one_.run.stop; ++i) {
+      const RealKeepers::Use used = fleet_.keepers().use();
       const ControlUse before = control_use(fleet_.plane());
       const ChangeMaker::Made made = fleet_.change();
-      fleet_.wait_until_in_force(made.index, everywhere);
+      fleet_.wait_everywhere(made.index);
+      one_.add("spaced_keepers_last", "s", i, quantile(fleet_.keepers().in_force_after(made.agreed_us), 1));
       run_until_due(fleet_.loop(), before.us, one_.plan.spaced_gap);
       const ControlUse after = control_use(fleet_.plane());
       const double wall = static_cast<double>(after.us - before.us) / kMicroseconds;
       const double beyond = share_between(before, after).mean - quiet_core_.mean;
       one_.add_by_node("control_change_cpu", "ms", i, beyond * wall * 1000);
+      one_.add("keeper_and_gatherer_change_cpu", "ms", i,
+               (keeper_share(used, before, after) - quiet_keeper_) * wall * 1000);
       one_.add("agreement", "s", ordinary_changes() + i, seconds(made.took));
       one_.add("spaced", i, fleet_.in_force(made, everywhere));
     }
@@ -150,7 +178,7 @@
       made.push_back(fleet_.change());
     }
     if (made.empty()) return;
-    fleet_.wait_until_in_force(made.back().index, everywhere);
+    fleet_.wait_everywhere(made.back().index);
     one_.add("hundredfold_changes", "changes", 1, static_cast<double>(made.size()));
     one_.add("hundredfold", 1, fleet_.in_force(made, everywhere));
     one_.add("hundredfold_newest", 1, fleet_.in_force(made.back(), everywhere));
@@ -164,7 +192,7 @@
       one_.say("a document of " + std::to_string(bytes) + " bytes more");
       const std::int64_t begun = machine_microseconds();
       const ChangeMaker::Made made = fleet_.change(static_cast<std::size_t>(bytes));
-      fleet_.wait_until_in_force(made.index, everywhere);
+      fleet_.wait_everywhere(made.index);
       run_until_due(fleet_.loop(), begun, 2 * one_.plan.sample_every + kOverASample);
       const FleetTraffic traffic = traffic_between(fleet_, begun, machine_microseconds());
       const double of_the_change =
@@ -179,6 +207,7 @@
   const SettingsRun& one_;
   SettingsFleet& fleet_;
   ControlShare quiet_core_;
+  double quiet_keeper_ = 0;  // share of a core of a keeper with its gatherer
   FleetTraffic quiet_traffic_;
 };
 
@@ -191,11 +220,13 @@
   for (const int receivers : plan.receivers) {
     if (run.stop) return;
     progress("settings: " + std::to_string(receivers) + " receivers");
-    SettingsFleet fleet(run.loop, static_cast<std::size_t>(receivers - plan.keepers), plan.sample_every,
-                        run.options.seed);
+    const SettingsFleet::Sizes sizes{static_cast<std::size_t>(receivers - plan.keepers), plan.keepers,
+                                     plan.listed};
+    SettingsFleet fleet(run.loop, sizes, plan.sample_every, run.options.seed);
     const SettingsRun one{run, plan, fleet, receivers, receivers == plan.receivers.back()};
     measure_changes(one);
     if (!run.stop) measure_faults(one);
+    one.add("real_keepers", "receivers", 1, static_cast<double>(fleet.keepers().count()));
     one.add("hollow_receivers", "receivers", 1, static_cast<double>(fleet.racks().receivers()));
     one.add("ran_an_older_one", "receivers", 1, static_cast<double>(fleet.went_back()));
   }
--- a/src/lab/scale/settings_faults.cpp
+++ b/src/lab/scale/settings_faults.cpp
@@ -53,6 +53,7 @@
       rig::run_for(fleet_.loop(), one_.plan.fault_gap);
     }
     fleet_.wait_until_in_force(made.back().index, reachable);
+    fleet_.keepers().wait_until_in_force(made.back().index);
     for (std::size_t i = 0; i < made.size(); ++i)
       one_.add(what, static_cast<int>(i + 1), fleet_.in_force(made[i], reachable));
     return made.back().index;
@@ -73,7 +74,7 @@
           back_us = machine_microseconds();
           each_lost([this](std::size_t rack) { fleet_.racks().start(rack); });
         });
-    one_.add(what + "_return_last", "s", 1, fleet_.alike_after(back_us, newest, everywhere));
+    one_.add(what + "_return_last", "s", 1, fleet_.alike_after(back_us, newest));
   }
 
   // A majority of the nodes is in region 0, which goes on making changes.
@@ -97,7 +98,7 @@
     const std::int64_t healed = machine_microseconds();
     fleet_.plane().cut_regions(false);
     one_.add("region_cut_length", "s", 1, static_cast<double>(length / 1s));
-    one_.add("region_return_last", "s", 1, fleet_.alike_after(healed, newest, everywhere));
+    one_.add("region_return_last", "s", 1, fleet_.alike_after(healed, newest));
   }
 
   std::size_t older_than(std::int64_t index) {
@@ -129,7 +130,7 @@
     const auto only = [](std::size_t rack) { return [rack](std::size_t one) { return one == rack; }; };
     one_.add("paused_return_last", "s", 1, fleet_.alike_after(resumed, newest, only(racks.paused())));
     const ChangeMaker::Made made = fleet_.change();
-    fleet_.wait_until_in_force(made.index, everywhere);
+    fleet_.wait_everywhere(made.index);
     one_.add("slow_last", "s", 1, fleet_.in_force(made, only(racks.slow())).last);
     racks.slow_down(racks.slow(), Span::zero());
   }
--- a/src/lab/scale/settings_fleet.cpp
+++ b/src/lab/scale/settings_fleet.cpp
@@ -28,11 +28,11 @@
 
 bool everywhere(std::size_t) { return true; }
 
-SettingsFleet::SettingsFleet(net::Loop& loop, std::size_t hollow_receivers, Span sample_every,
-                             std::uint32_t seed)
+SettingsFleet::SettingsFleet(net::Loop& loop, const Sizes& sizes, Span sample_every, std::uint32_t seed)
     : loop_(loop),
       plane_(loop, folder_.path(), seed),
-      racks_(plane_, folder_.path(), hollow_receivers, sample_every, seed),
+      keepers_(loop, plane_, sizes.keepers, sizes.listed),
+      racks_(plane_, folder_.path(), sizes.hollow_receivers, sample_every, seed),
       maker_(loop, plane_, seed) {}
 
 ChangeMaker::Made SettingsFleet::change(std::size_t padding) {
@@ -62,6 +62,11 @@
   if (!fine) throw std::runtime_error("revision " + std::to_string(index) + " was not in force in time");
 }
 
+void SettingsFleet::wait_everywhere(std::int64_t index) {
+  wait_until_in_force(index, everywhere);
+  keepers_.wait_until_in_force(index);
+}
+
 std::vector<double> SettingsFleet::delays(const ChangeMaker::Made& made, const Reachable& reachable) const {
   std::vector<double> out;
   for (std::size_t rack = 0; rack < racks_.racks(); ++rack) {
@@ -97,8 +102,13 @@
   return in_force(then, reachable).last;
 }
 
+double SettingsFleet::alike_after(std::int64_t from_us, std::int64_t index) {
+  wait_everywhere(index);
+  return std::max(alike_after(from_us, index, everywhere), quantile(keepers_.in_force_after(from_us), 1));
+}
+
 std::size_t SettingsFleet::went_back() const {
-  std::size_t out = 0;
+  std::size_t out = keepers_.went_back();
   for (std::size_t rack = 0; rack < racks_.racks(); ++rack) {
     for (const ReceiverRecord& record : racks_.rack(rack).log.records()) out += record.went_back ? 1 : 0;
   }
--- a/src/lab/scale/settings_fleet.h
+++ b/src/lab/scale/settings_fleet.h
@@ -10,6 +10,7 @@
 #include "lab/scale/control_plane.h"
 #include "lab/scale/installation.h"
 #include "lab/scale/racks.h"
+#include "lab/scale/real_keepers.h"
 #include "net/loop.h"
 
 namespace marbledyke::lab::scale {
@@ -25,28 +26,38 @@
 
 class SettingsFleet {
  public:
-  SettingsFleet(net::Loop& loop, std::size_t hollow_receivers, Span sample_every, std::uint32_t seed);
+  struct Sizes {
+    std::size_t hollow_receivers = 0;
+    int keepers = 0, listed = 0;  // real keepers, and servers that their gatherers list
+  };
+  SettingsFleet(net::Loop& loop, const Sizes& sizes, Span sample_every, std::uint32_t seed);
 
   // Another document than the one before, with so many bytes more than it needs; throws std::runtime_error
   // where it is not agreed.
   ChangeMaker::Made change(std::size_t padding = 0);
 
-  // Runs the loop until the revision or a newer one runs at all of them; throws std::runtime_error where that
+  // Runs the loop until the revision or a newer one runs at all of these hollow receivers; throws
+  // std::runtime_error where that
   // takes longer than kInForceLimit.
   void wait_until_in_force(std::int64_t index, const Reachable& reachable);
-  // From the logs, once it is in force.
+  // And at all others and all real keepers.
+  void wait_everywhere(std::int64_t index);
+  // Of hollow receivers, from the logs, once it is in force.
   InForce in_force(const ChangeMaker::Made& made, const Reachable& reachable) const;
   // Of several changes together, each receiver and change once.
   InForce in_force(const std::vector<ChangeMaker::Made>& made, const Reachable& reachable) const;
   // Seconds from a moment until all of them ran the revision; waits for that.
   double alike_after(std::int64_t from_us, std::int64_t index, const Reachable& reachable);
 
-  // Receivers that ever ran a revision which was not newer than the one before.
+  double alike_after(std::int64_t from_us, std::int64_t index);  // everywhere, real keepers among them
+
+  // Receivers, real ones among them, that ever ran a revision which was not newer than the one before.
   std::size_t went_back() const;
 
   std::size_t document_bytes() const { return document_.size(); }  // of the newest change
   ControlPlane& plane() { return plane_; }
   Racks& racks() { return racks_; }
+  RealKeepers& keepers() { return keepers_; }
   net::Loop& loop() { return loop_; }
   const Folder& folder() const { return folder_; }
 
@@ -57,6 +68,7 @@
   net::Loop& loop_;
   Folder folder_;
   ControlPlane plane_;
+  RealKeepers keepers_;
   Racks racks_;
   ChangeMaker maker_;
   int documents_ = 0;
