--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "lab/experiments.h"
 #include "lab/keepers.h"
 #include "lab/rollouts.h"
+#include "lab/scale/command.h"
 #include "lab/sockets.h"
 #include "lab/stage.h"
 #include "scenario/draw.h"
@@ -195,8 +196,11 @@
   capacity->add_option("--slopes", capacity_options.slopes, "The slopes that a scale run kept");
   capacity->add_option("--check", capacity_options.check, "A page; 1 where its tables are others");
   capacity->add_option("--write", capacity_options.write, "A page, whose tables are replaced");
+  const lab::scale::Command scale(app);
   CLI11_PARSE(app, count, words);
 
+  if (scale.is_scale()) heed_signals();
+  if (const auto status = scale.run(stopped)) return *status;
   if (*check) {
     if (!read(file)) return 1;
     std::cout << file << ": good\n";
