Capacity: a line that falls below 0 gives no figure

Change: such a figure says so, has no ratio and is named among what was not measured; the delay of answers has words for what would have to be built.

--- a/src/capacity/estimate.cpp
+++ b/src/capacity/estimate.cpp
@@ -45,7 +45,9 @@
   const double at_middle = slope->intercept + slope->slope * middle;
   const double one = at_middle + slope->low * (size - middle);
   const double other = at_middle + slope->high * (size - middle);
-  out.value_ = std::max(slope->intercept + slope->slope * size, 0.0);
+  const double fitted = slope->intercept + slope->slope * size;
+  out.below_ = fitted < 0;
+  out.value_ = std::max(fitted, 0.0);
   out.low_ = std::max(std::min(one, other), 0.0);
   out.high_ = std::max({one, other, 0.0});
   out.used_ = {id};
@@ -62,6 +64,7 @@
   out.value_ += other.value_;
   out.low_ += other.low_;
   out.high_ += other.high_;
+  out.below_ = below_ || other.below_;
   add(out.used_, other.used_);
   add(out.missing_, other.missing_);
   return out;
--- a/src/capacity/estimate.h
+++ b/src/capacity/estimate.h
@@ -12,14 +12,14 @@
  public:
   // From the size and the protocol alone.
   static Estimate worked_out(double value);
-  // From a slope at that size; below 0 it counts as 0. Without such a slope the estimate is not known, and
-  // neither is any that it goes into. Throws config::BadInput where the slope is in another unit, or per
-  // another thing, than asked for.
+  // From a slope at that size; where its line is below 0 it counts as 0, and below() says so. Without such a
+  // slope the estimate is not known, and neither is any that it goes into. Throws config::BadInput where the
+  // slope is in another unit, or per another thing, than asked for.
   static Estimate measured(const Slopes& slopes, const std::string& id, const std::string& unit,
                            const std::string& per, double size);
 
   bool known() const { return missing_.empty(); }
-  bool rests_on_slopes() const { return !used_.empty(); }
+  bool below() const { return below_; }  // a line that went into it is below 0 there: it says nothing
   double value() const { return value_; }
   double low() const { return low_; }
   double high() const { return high_; }
@@ -31,6 +31,7 @@
 
  private:
   double value_ = 0, low_ = 0, high_ = 0;
+  bool below_ = false;
   std::vector<std::string> used_, missing_;  // slopes, by id
 };
 
--- a/src/capacity/roles.cpp
+++ b/src/capacity/roles.cpp
@@ -38,6 +38,8 @@
     "the control nodes of `src/distribution`, in place of a call to each";
 constexpr const char* kBuildTree = "fewer receivers a node: a tree, or more nodes";
 constexpr const char* kBuildDeltas = "changes in place of whole documents";
+constexpr const char* kBuildAnswers =
+    "not known: what delays them has to be found, on a machine without other work";
 constexpr const char* kBuildThreads = "fewer queries a gatherer, or a cheaper part";
 
 double servers_changed_a_second(const Size& s) {
@@ -100,7 +102,7 @@
        Limit{kLimitGathererCore, kProgram}, kModule, kBuildThreads},
       {"gatherer", "answers of hollow servers in 10 ms: p99", "ms",
        [](const Size& s, const Slopes& m) { return by_servers(m, "answer_p99", "ms", s); },
-       Limit{kLimitAnswer, kOperators}, kModule, ""},
+       Limit{kLimitAnswer, kOperators}, kModule, kBuildAnswers},
       {"gatherer", "connections to servers", "connections",
        [](const Size& s, const Slopes& m) { return by_servers(m, "gatherer_connections", "count", s); },
        std::nullopt, kConnections, kBuildSubsets},
@@ -297,7 +299,7 @@
 }  // namespace
 
 std::optional<double> ratio(const Row& row) {
-  if (!row.limit || !row.target.known()) return std::nullopt;
+  if (!row.limit || !row.target.known() || row.target.below()) return std::nullopt;
   return row.target.value() / row.limit->value;
 }
 
--- a/src/capacity/roles.h
+++ b/src/capacity/roles.h
@@ -31,7 +31,7 @@
   const char* to_build;   // where it is over its limit; empty: nothing named yet
 };
 
-// Target over limit; none where either is not there.
+// Target over limit; none where either is not there, or the target's figure says nothing.
 std::optional<double> ratio(const Row& row);
 
 // Throws config::BadInput where a slope has another unit or size than it is used with.
--- a/src/capacity/tables.cpp
+++ b/src/capacity/tables.cpp
@@ -32,6 +32,7 @@
 // The value, and its bounds where they differ.
 std::string figure(const Estimate& estimate) {
   if (!estimate.known()) return "not measured";
+  if (estimate.below()) return "no figure: the line is below 0";
   const std::string value = text_of(estimate.value());
   const std::string low = text_of(estimate.low()), high = text_of(estimate.high());
   if (low == value && high == value) return value;
@@ -196,7 +197,10 @@
 std::string unmeasured_table(const std::vector<Row>& rows) {
   std::string out = head_of({"role", "what", "why"});
   for (const Row& row : rows) {
-    if (!row.target.known()) out += line_of({row.role, row.quantity, row.target.basis()});
+    if (!row.target.known())
+      out += line_of({row.role, row.quantity, row.target.basis()});
+    else if (row.target.below())
+      out += line_of({row.role, row.quantity, "the line is below 0: " + row.target.basis()});
   }
   return out;
 }
--- a/tests/capacity_traces.cpp
+++ b/tests/capacity_traces.cpp
@@ -72,6 +72,11 @@
   say("in the middle", at(200));
   say("below", at(0));
   say("twice", at(1000) * 2);
+  const Slopes falls =
+      read_slopes(std::string(kSlopesHeader) + "\nfall,gatherer,MB,listed_server,5,-0.1,-0.1,-0.1,10 20,3\n");
+  const Estimate under = Estimate::measured(falls, "fall", "MB", "listed_server", 100);
+  std::printf("below 0: %d, with another one: %d, itself higher up: %d\n", under.below(),
+              (at(1) + under).below(), Estimate::measured(falls, "fall", "MB", "listed_server", 10).below());
   say("with arithmetic", at(200) + Estimate::worked_out(1));
   say("arithmetic", Estimate::worked_out(2.5) + Estimate::worked_out(1));
   const Estimate missing = Estimate::measured(read, "other", "MB", "listed_server", 1);
