--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -11,9 +11,11 @@
 
 #include "emulator/policy.h"
 #include "emulator/world.h"
+#include "lab/capacity.h"
 #include "lab/experiments.h"
 #include "lab/keepers.h"
 #include "lab/rollouts.h"
+#include "lab/scale/command.h"
 #include "lab/sockets.h"
 #include "lab/stage.h"
 #include "scenario/draw.h"
@@ -188,8 +190,17 @@
   }
   load->add_option("--op-type", load_options.op_type);
   load->add_option("--shards", load_options.shards)->check(CLI::Range(1, 1024));
+  lab::CapacityOptions capacity_options;
+  CLI::App* const capacity =
+      app.add_subcommand("capacity", "The tables of docs/CAPACITY.md, from kept slopes");
+  capacity->add_option("--slopes", capacity_options.slopes, "The slopes that a scale run kept");
+  capacity->add_option("--check", capacity_options.check, "A page; 1 where its tables are others");
+  capacity->add_option("--write", capacity_options.write, "A page, whose tables are replaced");
+  const lab::scale::Command scale(app);
   CLI11_PARSE(app, count, words);
 
+  if (scale.is_scale()) heed_signals();
+  if (const auto status = scale.run(stopped)) return *status;
   if (*check) {
     if (!read(file)) return 1;
     std::cout << file << ": good\n";
@@ -255,6 +266,7 @@
     return lab::measure_keepers(measures, directory, stopped);
   }
   if (*twins_of) return twins(name, seed);
+  if (*capacity) return lab::run_capacity(capacity_options);
   if (*list) {
     for (const std::string& each : lab::experiment_names()) {
       const lab::Experiment e = lab::make_experiment(each, 1);
