--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -230,7 +230,10 @@
     throttled.event({{"status", complaint->status}, {"why", complaint->why}});
     return turn_away(caller.number, complaint->status, complaint->why + "\n");
   }
-  if (!has_a_place) return refuse_at_door(caller);
+  if (!has_a_place) {
+    tally_.refused_at_door += 1;
+    return refuse_no_room(caller);
+  }
   asked.push_back({caller.number, std::move(std::get<Ask>(read)), caller.first_byte});
 }
 
@@ -401,7 +404,7 @@
   if (before == Activity::idle) {
     part(caller);
   } else {
-    refuse_unasked(caller);
+    refuse_no_room(caller);
   }
   return caller.stream->closed() || caller.parting;
 }
@@ -430,19 +433,13 @@
   return free_descriptor([](const Caller&) { return true; });
 }
 
-// A refusal before the request is whole: the client reads it as the answer to what it is sending.
-void Clients::refuse_unasked(Caller& caller) {
+// Also before the request is whole: the client reads it as the answer to what it is sending.
+void Clients::refuse_no_room(Caller& caller) {
   caller.in_hand = true;
   say(caller, answer_text(503, "no room\n", false, std::min(kComeBackToDoor, carriage_.most_retry_after)),
       false);
 }
 
-void Clients::refuse_at_door(Caller& caller) {
-  tally_.refused_at_door += 1;
-  say(caller, answer_text(503, "no room\n", false, std::min(kComeBackToDoor, carriage_.most_retry_after)),
-      false);
-}
-
 void Clients::bury() {
   graves_.clear();
   refill();
--- a/src/clients/clients.h
+++ b/src/clients/clients.h
@@ -22,8 +22,8 @@
 
 using front::Asked;
 
-// Descriptors held back for connections that find no place; a quarter of what there is where that is less. One is
-// needed for a round trip at a time, so a few refuse any number.
+// Descriptors held back for connections that find no place; a quarter of what there is where that is less.
+// One is needed for a round trip at a time, so a few refuse any number.
 inline constexpr std::size_t kHeldBack = 8;
 
 class Clients final : public front::Front, public net::Watcher {
@@ -84,8 +84,7 @@
   bool dismiss(Caller& caller);
   bool free_place();
   bool free_descriptor(bool (*among)(const Caller&));
-  void refuse_unasked(Caller& caller);
-  void refuse_at_door(Caller& caller);
+  void refuse_no_room(Caller& caller);
   void sweep();
   void unended(Caller& caller);
   void close(Caller& caller);
