--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -227,7 +227,10 @@
     throttled.event({{"status", complaint->status}, {"why", complaint->why}});
     return turn_away(caller.number, complaint->status, complaint->why + "\n");
   }
-  if (!has_a_place) return refuse_at_door(caller);
+  if (!has_a_place) {
+    tally_.refused_at_door += 1;
+    return refuse_no_room(caller);
+  }
   asked.push_back({caller.number, std::move(std::get<Ask>(read)), caller.first_byte});
 }
 
@@ -398,7 +401,7 @@
   if (before == Activity::idle) {
     part(caller);
   } else {
-    refuse_unasked(caller);
+    refuse_no_room(caller);
   }
   return caller.stream->closed() || caller.parting;
 }
@@ -427,23 +430,14 @@
   return free_descriptor([](const Caller&) { return true; });
 }
 
-// A refusal before the request is whole: the client reads it as the answer to what it is sending.
-void Clients::refuse_unasked(Caller& caller) {
+// Also before the request is whole: the client reads it as the answer to what it is sending. The advice, where
+// the terms allow one: requests in hand keep their places for about a latency budget.
+void Clients::refuse_no_room(Caller& caller) {
   caller.in_hand = true;
-  say_no_room(caller);
-}
-
-// The advice, where the terms allow one: requests in hand keep their places for about a latency budget.
-void Clients::say_no_room(Caller& caller) {
   const Span come_back = std::min(carriage_.longest_budget, carriage_.most_retry_after);
   say(caller, answer_text(503, "no room\n", false, come_back), false);
 }
 
-void Clients::refuse_at_door(Caller& caller) {
-  tally_.refused_at_door += 1;
-  say_no_room(caller);
-}
-
 void Clients::bury() {
   graves_.clear();
   refill();
--- a/src/clients/clients.h
+++ b/src/clients/clients.h
@@ -84,9 +84,7 @@
   bool dismiss(Caller& caller);
   bool free_place();
   bool free_descriptor(bool (*among)(const Caller&));
-  void refuse_unasked(Caller& caller);
-  void refuse_at_door(Caller& caller);
-  void say_no_room(Caller& caller);
+  void refuse_no_room(Caller& caller);
   void sweep();
   void unended(Caller& caller);
   void close(Caller& caller);
