--- a/bench/benchmarks.cpp
+++ b/bench/benchmarks.cpp
@@ -1,5 +1,5 @@
-// What the module, the parsers and the rings cost. `bench/run` runs all, and sets each beside `reference`, a fixed
-// piece of work of the same run: the ratios are what is kept and compared, since machines differ.
+// What the module, the parsers and the rings cost. `bench/run` runs all, and sets each beside `reference`, a
+// fixed piece of work of the same run: the ratios are what is kept and compared, since machines differ.
 #include <benchmark/benchmark.h>
 
 #include <cstdio>
@@ -64,10 +64,12 @@
     now += 10ms;
     ++number;
     choice.clock(now);
-    choice.multiget_taken({part_id(number, 0), static_cast<double>(number), 0, 0, static_cast<int>(pieces), now + 2s});
+    choice.multiget_taken(
+        {part_id(number, 0), static_cast<double>(number), 0, 0, static_cast<int>(pieces), now + 2s});
     for (std::size_t i = 0; i < pieces; ++i)
-      choice.part_taken({part_id(number, i + 1), static_cast<double>(number), static_cast<int>((number + i * 3) % 128),
-                         1.0 / static_cast<double>(pieces), 0, 20ms});
+      choice.part_taken({part_id(number, i + 1), static_cast<double>(number),
+                         static_cast<int>((number + i * 3) % 128), 1.0 / static_cast<double>(pieces), 0,
+                         20ms});
     const auto pull = [&] {
       while (choice.next_verdict()) {
       }
@@ -93,10 +95,12 @@
 BENCHMARK(module_multiget)->ArgsProduct({{16, 256, 4096, 40000}, {1, 6, 64}});
 
 void http_request(benchmark::State& state) {
-  const std::string body = R"({"slices":[{"slice":3,"mass":0.5},{"slice":9,"mass":0.5}],"filter":"c41e77d0"})";
-  const std::string text = "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nX-Class: look\r\n"
-                           "X-Tenant: acme\r\nX-Deadline-Ms: 480\r\nContent-Length: " +
-                           std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string body =
+      R"({"slices":[{"slice":3,"mass":0.5},{"slice":9,"mass":0.5}],"filter":"c41e77d0"})";
+  const std::string text =
+      "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nX-Class: look\r\n"
+      "X-Tenant: acme\r\nX-Deadline-Ms: 480\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
   net::HttpReader reader(net::HttpReader::Kind::request, 64 * 1024);
   for (auto _ : state) {
     reader.restart();
@@ -125,7 +129,8 @@
 void frame(benchmark::State& state) {
   std::string bytes;
   const std::size_t place = servers::begin_frame(bytes, '5');
-  bytes += "9b1f03aa5c7e2d41.3 S 1840277719 inflight=7,util=0.61\n" + std::string(static_cast<std::size_t>(state.range(0)), 'v');
+  bytes += "9b1f03aa5c7e2d41.3 S 1840277719 inflight=7,util=0.61\n" +
+           std::string(static_cast<std::size_t>(state.range(0)), 'v');
   servers::end_frame(bytes, place);
   const std::vector<std::string> fields{"active", "cpu"};
   servers::FrameReader reader;
@@ -154,7 +159,9 @@
 void race(benchmark::State& state) {
   addresses::Book book({}, 1);
   book.news_opens(true);
-  book.listed("A", true, {*net::parse_address("unix:@a"), *net::parse_address("[::1]:90"), *net::parse_address("127.0.0.1:90")});
+  book.listed(
+      "A", true,
+      {*net::parse_address("unix:@a"), *net::parse_address("[::1]:90"), *net::parse_address("127.0.0.1:90")});
   book.news_closes();
   Span now{};
   for (auto _ : state) {
--- a/src/checker/checker.cpp
+++ b/src/checker/checker.cpp
@@ -11,10 +11,9 @@
 
 namespace {
 
-constexpr std::array<const char*, 16> kWhats{"taken",    "sent",        "arrived", "began", "told",
-                                             "answered", "pushed_back", "failed",  "left",  "learned",
-                                             "started",  "stopped",     "died",    "stalled", "resumed",
-                                             "joined"};
+constexpr std::array<const char*, 16> kWhats{
+    "taken", "sent",    "arrived", "began",   "told", "answered", "pushed_back", "failed",
+    "left",  "learned", "started", "stopped", "died", "stalled",  "resumed",     "joined"};
 constexpr std::array<const char*, 8> kFates{"returned",    "app_error", "pushed_back", "expired",
                                             "dial_failed", "dropped",   "revoked",     "unused"};
 constexpr std::size_t kLongestTrace = 200;
@@ -138,10 +137,11 @@
         late->second.until = event.at;
         due_.emplace(event.at, id);
       }
-      // What came meanwhile, or was on its way when it began, was read only now, and says how long its client waits, not
-      // since when (drawn fleet 79 on sockets).
+      // What came meanwhile, or was on its way when it began, was read only now, and says how long its client
+      // waits, not since when (drawn fleet 79 on sockets).
       for (auto& [id, mg] : open_) {
-        if (mg.gatherer != event.gatherer || mg.over || mg.taken < still->second.since - rules_.crossing) continue;
+        if (mg.gatherer != event.gatherer || mg.over || mg.taken < still->second.since - rules_.crossing)
+          continue;
         due_.erase({mg.until, id});
         mg.until = std::max(mg.until, mg.asked_until + (event.at - mg.taken));
         due_.emplace(mg.until, id);
@@ -278,9 +278,8 @@
     budget.further.push_back(event.at);
     // A process that came beside another has a floor of its own, from nothing.
     while (!budget.joined.empty() && budget.joined.front() < from) budget.joined.pop_front();
-    const double allowed =
-        rules_.further_floor * static_cast<double>(1 + budget.joined.size()) +
-        rules_.further_share * static_cast<double>(budget.taken.size());
+    const double allowed = rules_.further_floor * static_cast<double>(1 + budget.joined.size()) +
+                           rules_.further_share * static_cast<double>(budget.taken.size());
     // Both ends of a window are counted to the sender's good: one send may stand on its edge.
     if (static_cast<double>(budget.further.size()) > allowed + 1)
       breach(6, "more further sends than the budget has", event.at, mg.trace);
--- a/src/checker/checker.h
+++ b/src/checker/checker.h
@@ -31,9 +31,9 @@
   started,  // a server started, cold; or is there from the beginning, warm (cold = false)
   stopped,  // a server's process ended
   died,     // a gatherer's process ended: what it had in hand is over
-  stalled,      // a gatherer's process stands still: it can answer nothing
-  resumed,      // and goes on: it has the usual slack from now on
-  joined,       // another process of the same gatherer serves beside it, which then leaves: each has its floor
+  stalled,  // a gatherer's process stands still: it can answer nothing
+  resumed,  // and goes on: it has the usual slack from now on
+  joined,   // another process of the same gatherer serves beside it, which then leaves: each has its floor
 };
 
 struct Event {
@@ -53,7 +53,7 @@
   Standing standing = Standing::up;
   Span until{};
   bool heard = true;  // told, returned: it is known that the gatherer had it, not only that it was said
-  double work = 0;  // arrived: seconds on one core that it is told to take
+  double work = 0;    // arrived: seconds on one core that it is told to take
 };
 std::string text_of(const Event& event);
 
--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -430,8 +430,8 @@
   return free_descriptor([](const Caller&) { return true; });
 }
 
-// Also before the request is whole: the client reads it as the answer to what it is sending. The advice, where
-// the terms allow one: requests in hand keep their places for about a latency budget.
+// Also before the request is whole: the client reads it as the answer to what it is sending. The advice,
+// where the terms allow one: requests in hand keep their places for about a latency budget.
 void Clients::refuse_no_room(Caller& caller) {
   caller.in_hand = true;
   const Span come_back = std::min(carriage_.longest_budget, carriage_.most_retry_after);
--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -44,8 +44,8 @@
   std::function<void(int)> told_;
 };
 
-// A keeper holds the socket that clients connect to, so that they wait in its queue while one gatherer follows
-// another. None is inherited without one.
+// A keeper holds the socket that clients connect to, so that they wait in its queue while one gatherer
+// follows another. None is inherited without one.
 net::Descriptor inherited_listener(const net::Address& listen) {
   const char* const stated = std::getenv("MARBLEDYKE_LISTEN_FD");
   if (stated == nullptr || *stated == '\0') return {};
@@ -89,7 +89,8 @@
       terms = std::move(result.terms);
     }
     open_log(terms ? &*terms : nullptr);
-    gatherer_ = std::make_unique<gatherer::Gatherer>(commission_, inherited_listener(commission_.listen), clock);
+    gatherer_ =
+        std::make_unique<gatherer::Gatherer>(commission_, inherited_listener(commission_.listen), clock);
     if (const char* path = std::getenv("MARBLEDYKE_EVENTS"); path != nullptr && *path != '\0') {
       pipe_ = std::make_unique<events::Pipe>(gatherer_->loop(), path);
       log::tap([this](const std::string& line) { pipe_->line(line); });
@@ -99,9 +100,10 @@
     search_ = operator_file::text_of(terms->search);
     if (terms->search.any() || !terms->search.speakers.empty()) {
       if (!options.extend)
-        throw config::BadInput(options.operator_file +
-                               ": search: this program speaks the platform's protocols only; marbledyke-search "
-                               "speaks the others");
+        throw config::BadInput(
+            options.operator_file +
+            ": search: this program speaks the platform's protocols only; marbledyke-search "
+            "speaks the others");
       options.extend(*gatherer_, terms->search, commission_);
     }
     gatherer_->operate(*terms);
@@ -200,7 +202,7 @@
   std::unique_ptr<operator_file::Reading> reading_;
   bool again_ = false;
   net::Spare spare_{1};  // for reading the file while clients hold every other descriptor
-  std::string search_;  // the terms of search that this start has
+  std::string search_;   // the terms of search that this start has
 };
 
 }  // namespace
--- a/src/config/commission.cpp
+++ b/src/config/commission.cpp
@@ -70,7 +70,8 @@
     const std::string at = "categories." + std::to_string(i) + ".";
     if (!read.has(at + "name") && !read.has(at + "deadline")) break;
     const std::string second = "specifics.second-step." + std::to_string(i);
-    out.op_types.push_back({read.word(at + "name"), read.has(second) ? read.count(second, 0) : 0,
+    out.op_types.push_back({read.word(at + "name"),
+                            read.has(second) ? read.count(second, 0) : 0,
                             !read.has(at + "effect") || read.word(at + "effect") == "once",
                             read.has("specifics.class-floor." + std::to_string(i))
                                 ? read.number("specifics.class-floor." + std::to_string(i), 0, 1)
--- a/src/disk/disk.cpp
+++ b/src/disk/disk.cpp
@@ -115,7 +115,8 @@
 std::vector<std::string> MachineDisk::list(const std::string& path) {
   std::vector<std::string> out;
   std::error_code wrong;
-  for (const auto& entry : fs::directory_iterator(path, wrong)) out.push_back(entry.path().filename().string());
+  for (const auto& entry : fs::directory_iterator(path, wrong))
+    out.push_back(entry.path().filename().string());
   if (wrong && wrong.value() != ENOENT) refuse(path, wrong.value());
   std::sort(out.begin(), out.end());
   return out;
--- a/src/disk/disk.h
+++ b/src/disk/disk.h
@@ -1,7 +1,7 @@
-// Files as far as a keeper writes them, through one interface, so that the lab can give a process a disk that is
-// full, slow, read-only, tears or lies. What must survive goes through replace(): written beside, synced, renamed
-// over, and the folder synced; after a crash at any point the old text or the new one is there, whole.
-// All throw DiskError, whose text names the path.
+// Files as far as a keeper writes them, through one interface, so that the lab can give a process a disk that
+// is full, slow, read-only, tears or lies. What must survive goes through replace(): written beside, synced,
+// renamed over, and the folder synced; after a crash at any point the old text or the new one is there,
+// whole. All throw DiskError, whose text names the path.
 #pragma once
 
 #include <cstdint>
--- a/src/emulator/keepers.h
+++ b/src/emulator/keepers.h
@@ -1,6 +1,6 @@
-// A keeper and its processes in virtual time: the shipped decisions (keeper::Minder, keeper::judge) over processes
-// that behave as their version says, a disk that may be full, and a keeper that is killed, paused and started
-// again. No sockets, no files; steps of 50 ms, so that a thousand of them are cheap.
+// A keeper and its processes in virtual time: the shipped decisions (keeper::Minder, keeper::judge) over
+// processes that behave as their version says, a disk that may be full, and a keeper that is killed, paused
+// and started again. No sockets, no files; steps of 50 ms, so that a thousand of them are cheap.
 #pragma once
 
 #include <array>
@@ -20,7 +20,7 @@
 
 // What a version's process does.
 struct Behaviour {
-  Span starts_in{100'000};          // from its begin until it serves
+  Span starts_in{100'000};  // from its begin until it serves
   bool never_serves = false;
   std::optional<Span> ends_after;   // from its begin
   std::optional<Span> hangs_after;  // says nothing any more
@@ -46,7 +46,8 @@
     std::function<void(int slot)> ended;
   };
 
-  EmulatedKeeper(const keeper::Policy& policy, std::map<std::string, EmulatedVersion> versions, std::uint32_t seed);
+  EmulatedKeeper(const keeper::Policy& policy, std::map<std::string, EmulatedVersion> versions,
+                 std::uint32_t seed);
 
   // What an order is answered; none where the keeper is dead or paused.
   std::optional<keeper::Verdict> order(const keeper::Order& order);
@@ -55,8 +56,8 @@
   void kill_keeper();   // at once; what it had decided and not carried out is lost
   void start_keeper();  // over what it finds; nothing where it lives
   void pause_keeper(bool on) { paused_ = on; }
-  void kill_process();  // the one that serves
-  void freeze(bool on);  // those that are there stand still, or go on
+  void kill_process();                          // the one that serves
+  void freeze(bool on);                         // those that are there stand still, or go on
   void set_rate(double rate) { rate_ = rate; }  // of the keeper's own clock
   void disk_full(bool on) { disk_full_ = on; }
   // At the n-th act from now the keeper is killed, before it is carried out.
--- a/src/emulator/rollouts.cpp
+++ b/src/emulator/rollouts.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr Span kWall = 1'700'000'000s;
-constexpr Span kProof = 4s;      // from the order until a keeper has proved it
+constexpr Span kProof = 4s;       // from the order until a keeper has proved it
 constexpr Span kLongest = 7200s;  // a rollout that takes longer is given up as it is
 
 struct One {
@@ -58,7 +58,9 @@
     fleet.push_back(one);
     members.push_back({"m" + std::to_string(i), "z" + std::to_string(one.zone), {}});
   }
-  const auto between = [&](double a, double b) { return std::uniform_real_distribution<double>(a, b)(chance); };
+  const auto between = [&](double a, double b) {
+    return std::uniform_real_distribution<double>(a, b)(chance);
+  };
   std::vector<std::pair<double, double>> troubles;
   if (model.trouble) {
     for (const auto& [from, until] : {std::pair{70.0, 250.0}, std::pair{300.0, 600.0}}) {
@@ -95,8 +97,8 @@
         const double mean = model.rate * model.op_share[static_cast<std::size_t>(op)] * plan.limits.block_s;
         const auto asked = static_cast<std::uint64_t>(std::poisson_distribution<int>(mean)(chance));
         const double own = std::min(model.bad * one.unlike + common + (cluster ? model.cluster_bad : 0), 1.0);
-        const bool here = (flaw.op_type < 0 || flaw.op_type == op) && (flaw.zone < 0 || flaw.zone == one.zone) &&
-                          now - one.started >= flaw.after;
+        const bool here = (flaw.op_type < 0 || flaw.op_type == op) &&
+                          (flaw.zone < 0 || flaw.zone == one.zone) && now - one.started >= flaw.after;
         double by_flaw = is_new(one) && here ? flaw.bad : 0;
         if (!is_new(one)) by_flaw += flaw.others * share_new;
         const auto bad = static_cast<std::uint64_t>(
@@ -107,9 +109,11 @@
         side.failed = bad / 2;
         side.pushed_back = bad - bad / 2;
         side.answered = asked - bad;
-        side.slow = static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(side.answered), 0.1)(chance));
+        side.slow = static_cast<std::uint64_t>(
+            std::binomial_distribution<int>(static_cast<int>(side.answered), 0.1)(chance));
         side.sends = asked * 4;
-        side.further = static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(side.sends), 0.03)(chance));
+        side.further = static_cast<std::uint64_t>(
+            std::binomial_distribution<int>(static_cast<int>(side.sends), 0.03)(chance));
         side.cpu = 50e-6 * static_cast<double>(asked) * between(0.95, 1.05);
         out.asked += static_cast<double>(asked);
         out.lost += static_cast<double>(asked) * by_flaw;
@@ -190,21 +194,25 @@
       side_new[g] = is_new(fleet[g]) ? 1 : 0;
       counts[g] = now - fleet[g].started >= plan.burn_in + block || fleet[g].started == Span{} ? 1 : 0;
     }
-    if (conductor.state() == State::soaking || conductor.state() == State::waiting) judge->after(block_of(sides, side_new, counts));
+    if (conductor.state() == State::soaking || conductor.state() == State::waiting)
+      judge->after(block_of(sides, side_new, counts));
     conductor.judged(judge->look(conductor.soak_over()));
   }
   out.end = conductor.state();
   out.stage = conductor.kept().stage;
   out.why = conductor.kept().why;
-  out.seconds = static_cast<double>(conductor.kept().since_ms) / 1000 - std::chrono::duration<double>(kWall).count();
+  out.seconds =
+      static_cast<double>(conductor.kept().since_ms) / 1000 - std::chrono::duration<double>(kWall).count();
   out.impossible = conductor.impossible();
 
-  // By the clock alone: each stage for its soak, and the last as long as it takes to see it by eye: 10 minutes.
+  // By the clock alone: each stage for its soak, and the last as long as it takes to see it by eye: 10
+  // minutes.
   double changed = 0;
   const auto stages = rollout::stages_of(plan, members);
   for (std::size_t i = 0; i < stages.size(); ++i) {
     changed += static_cast<double>(stages[i].size());
-    const double time = std::chrono::duration<double>(plan.stages[i].soak).count() + (i + 1 == stages.size() ? 600 : 0);
+    const double time =
+        std::chrono::duration<double>(plan.stages[i].soak).count() + (i + 1 == stages.size() ? 600 : 0);
     double flawed = 0, weight = 0;
     for (int op = 0; op < ops; ++op) {
       for (int zone = 0; zone < model.zones; ++zone) {
@@ -214,8 +222,8 @@
       }
     }
     out.lost_by_clock += changed * model.rate * time * flaw.bad * flawed / std::max(weight, 1e-9);
-    out.lost_by_clock += (static_cast<double>(fleet.size()) - changed) * model.rate * time * flaw.others * changed /
-                         static_cast<double>(fleet.size());
+    out.lost_by_clock += (static_cast<double>(fleet.size()) - changed) * model.rate * time * flaw.others *
+                         changed / static_cast<double>(fleet.size());
   }
   return out;
 }
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -158,7 +158,7 @@
 
 // Of a gatherer's machine, whichever process serves there.
 struct Machine {
-  int lead = 0;  // among the gatherers' processes
+  int lead = 0;                                     // among the gatherers' processes
   int list_cut = 0, path_lost = 0, keeper_off = 0;  // faults of that kind under way
   Span path_delay{};
   std::unique_ptr<EmulatedKeeper> keeper;  // decides as the shipped one does
@@ -166,8 +166,9 @@
   bool second = false;  // the version in force
 };
 
-constexpr Span kStarts = 40ms;         // a process, from its begin until it serves: 43 ms after SIGKILL were measured
-constexpr Span kStillTaking = 400ms;   // then one that was told to stop takes nothing new
+constexpr Span kStarts =
+    40ms;  // a process, from its begin until it serves: 43 ms after SIGKILL were measured
+constexpr Span kStillTaking = 400ms;  // then one that was told to stop takes nothing new
 constexpr Span kPausedLook = 20ms;
 
 // As the lab starts keepers of staged scenarios (lab::Kept).
@@ -379,7 +380,8 @@
     const bool near = gatherers_[static_cast<std::size_t>(gatherer)].zone == server.zone;
     const double mean = seconds(near ? s_.network.near : s_.network.far);
     const double drawn = s_.network.jitter > 0 ? std::exponential_distribution<double>(1)(network_) : 0;
-    return span_of(mean * (1 - s_.network.jitter + s_.network.jitter * drawn)) + machine_of(gatherer).path_delay;
+    return span_of(mean * (1 - s_.network.jitter + s_.network.jitter * drawn)) +
+           machine_of(gatherer).path_delay;
   }
 
   bool paused(int gatherer) const { return paused_[static_cast<std::size_t>(gatherer)] > 0; }
@@ -941,7 +943,8 @@
     for (std::size_t g = 0; g < gatherers_.size(); ++g) {
       if (gatherers_[g].leaving) continue;
       const bool leads = machine_of(static_cast<int>(g)).lead == static_cast<int>(g);
-      if (gatherers_[g].alive || (leads && now_ < died_[g] + kFrontNotices)) open.push_back(static_cast<int>(g));
+      if (gatherers_[g].alive || (leads && now_ < died_[g] + kFrontNotices))
+        open.push_back(static_cast<int>(g));
     }
     if (open.empty()) return not_served(i, 0ms, false);
     const int number = open[clients_.one_of(open.size())];
@@ -1074,7 +1077,7 @@
         return;
       default:
         return scenario::of_gatherers(fault.kind) ? strike_gatherer(fault, number, begins)
-                                                      : strike_server(fault, number, begins);
+                                                  : strike_server(fault, number, begins);
     }
   }
 
@@ -1214,8 +1217,8 @@
   // Its first version serves before the scenario begins.
   void make_keeper(int number) {
     Machine& machine = machines_[static_cast<std::size_t>(number)];
-    machine.keeper = std::make_unique<EmulatedKeeper>(kept_policy(), kept_versions(),
-                                                      options_.seed * 6007 + static_cast<std::uint32_t>(number));
+    machine.keeper = std::make_unique<EmulatedKeeper>(
+        kept_policy(), kept_versions(), options_.seed * 6007 + static_cast<std::uint32_t>(number));
     order(machine, "one");
     for (int step = 0; step < 200 && machine.keeper->kept().outcome != keeper::Outcome::done; ++step)
       machine.keeper->step();
@@ -1232,7 +1235,9 @@
           at(now_ + kStillTaking, Kind::leaves, static_cast<std::uint32_t>(process),
              gatherers_[static_cast<std::size_t>(process)].life);
         },
-        [this, number](int slot) { return gatherers_[static_cast<std::size_t>(process_of(number, slot))].hand.empty(); },
+        [this, number](int slot) {
+          return gatherers_[static_cast<std::size_t>(process_of(number, slot))].hand.empty();
+        },
         [this, number](int slot) { kill(process_of(number, slot)); }};
   }
 
@@ -1254,7 +1259,8 @@
     Machine& machine = machines_[static_cast<std::size_t>(number)];
     bool any = false;
     for (std::size_t g = 0; g < gatherers_.size(); ++g) {
-      if (machine_of_[g] != number || !gatherers_[g].alive || (!begins && paused_[g] == 0)) continue;  // a new process
+      if (machine_of_[g] != number || !gatherers_[g].alive || (!begins && paused_[g] == 0))
+        continue;  // a new process
       paused_[g] += begins ? 1 : -1;
       any = any || paused_[g] > 0;
       if (paused_[g] != (begins ? 1 : 0)) continue;
--- a/src/events/pipe.h
+++ b/src/events/pipe.h
@@ -1,6 +1,6 @@
-// The way of a gatherer's events to its keeper: lines of JSON through a named pipe that the keeper made. It never
-// holds up a turn and outlives the keeper: while nobody reads, lines are dropped and counted, and once somebody
-// reads again, whole lines come again.
+// The way of a gatherer's events to its keeper: lines of JSON through a named pipe that the keeper made. It
+// never holds up a turn and outlives the keeper: while nobody reads, lines are dropped and counted, and once
+// somebody reads again, whole lines come again.
 #pragma once
 
 #include <cstdint>
--- a/src/explore/rollout_world.cpp
+++ b/src/explore/rollout_world.cpp
@@ -1,7 +1,8 @@
-// A rolling change in the small: the shipped conductor (rollout::Conductor), up to two of them, over two or three
-// keepers that judge orders by the shipped keeper::judge and keep them by keeper::Minder::with, orders that are lost,
-// repeated and overtaken on their way, reports that come late, a conductor that is killed or paused, and a successor with
-// or without what it kept. A process of a keeper comes up or does not; how it does that is keeper::Minder's own table.
+// A rolling change in the small: the shipped conductor (rollout::Conductor), up to two of them, over two or
+// three keepers that judge orders by the shipped keeper::judge and keep them by keeper::Minder::with, orders
+// that are lost, repeated and overtaken on their way, reports that come late, a conductor that is killed or
+// paused, and a successor with or without what it kept. A process of a keeper comes up or does not; how it
+// does that is keeper::Minder's own table.
 #include <algorithm>
 #include <array>
 #include <cstdlib>
@@ -32,11 +33,12 @@
 // What may go wrong, and how often, in one rollout: each of these once, and so many in all.
 struct Left {
   int all = 2;
-  int losses = 1, repeats = 1, held = 1, failures = 1, cuts = 1, successions = 1, late_reports = 1, turns_of_the_former = 1,
-      worse = 1, by_hand = 1;
+  int losses = 1, repeats = 1, held = 1, failures = 1, cuts = 1, successions = 1, late_reports = 1,
+      turns_of_the_former = 1, worse = 1, by_hand = 1;
   std::string line() const {
     std::string out;
-    for (const int one : {all, losses, repeats, held, failures, cuts, successions, late_reports, turns_of_the_former, worse, by_hand})
+    for (const int one : {all, losses, repeats, held, failures, cuts, successions, late_reports,
+                          turns_of_the_former, worse, by_hand})
       out += std::to_string(one);
     return out;
   }
@@ -133,26 +135,38 @@
 
   bool can(int choice) const override {
     const auto in = [&](int first, int many) {
-      return choice >= first && choice < first + (many == kKeepers && first >= kComesUp && first != kHeld ? count() : many);
+      return choice >= first &&
+             choice < first + (many == kKeepers && first >= kComesUp && first != kHeld ? count() : many);
+    };
+    const auto it = [&](int first) -> const Keeper& {
+      return keepers_[static_cast<std::size_t>(choice - first)];
     };
-    const auto it = [&](int first) -> const Keeper& { return keepers_[static_cast<std::size_t>(choice - first)]; };
     const auto on_way = [&](int first) { return choice - first < static_cast<int>(orders_.size()); };
     if (choice == kTime)
-      return std::none_of(orders_.begin(), orders_.end(), [](const OnItsWay& one) { return !one.held && one.age >= 1; }) &&
-             std::none_of(keepers_.begin(), keepers_.end(), [](const Keeper& one) { return one.busy >= kMostSteps; });
+      return std::none_of(orders_.begin(), orders_.end(),
+                          [](const OnItsWay& one) { return !one.held && one.age >= 1; }) &&
+             std::none_of(keepers_.begin(), keepers_.end(),
+                          [](const Keeper& one) { return one.busy >= kMostSteps; });
     if (in(kHeld, kMostOrders)) return on_way(kHeld) && left_.held > 0 && left_.all > 0;
     if (in(kArrives, kMostOrders)) return on_way(kArrives);
     if (in(kLost, kMostOrders)) return on_way(kLost) && left_.may(left_.losses);
     if (in(kRepeated, kMostOrders)) return on_way(kRepeated) && left_.may(left_.repeats);
-    if (in(kComesUp, kKeepers)) return it(kComesUp).kept.outcome == Outcome::under_way || it(kComesUp).kept.outcome == Outcome::returning;
-    if (in(kFails, kKeepers)) return it(kFails).kept.outcome == Outcome::under_way && it(kFails).kept.in_force == kNew && left_.may(left_.failures);
+    if (in(kComesUp, kKeepers))
+      return it(kComesUp).kept.outcome == Outcome::under_way ||
+             it(kComesUp).kept.outcome == Outcome::returning;
+    if (in(kFails, kKeepers))
+      return it(kFails).kept.outcome == Outcome::under_way && it(kFails).kept.in_force == kNew &&
+             left_.may(left_.failures);
     if (in(kCut, kKeepers)) return it(kCut).reachable && left_.may(left_.cuts);
     if (in(kHealed, kKeepers)) return !it(kHealed).reachable;
     if (in(kSaid, kKeepers)) return !late_ && it(kSaid).reachable && left_.may(left_.late_reports);
     if (choice == kHeardLate) return late_.has_value();
     // Its trial is longer than any conductor waits, so it runs out only where nobody is heard.
-    if (in(kTakesBack, kKeepers)) return it(kTakesBack).kept.outcome == Outcome::on_trial && (it(kTakesBack).cut >= 3 || conductor_->over());
-    if (choice == kKilled || choice == kElsewhere || choice == kPaused) return left_.may(left_.successions) && !conductor_->over();
+    if (in(kTakesBack, kKeepers))
+      return it(kTakesBack).kept.outcome == Outcome::on_trial &&
+             (it(kTakesBack).cut >= 3 || conductor_->over());
+    if (choice == kKilled || choice == kElsewhere || choice == kPaused)
+      return left_.may(left_.successions) && !conductor_->over();
     if (choice == kFormer) return former_ != nullptr && left_.turns_of_the_former > 0;
     if (choice == kWorse) return left_.may(left_.worse) && !worse_;
     if (choice == kByHand) return left_.may(left_.by_hand) && !conductor_->over();
@@ -164,8 +178,9 @@
     const auto keeper = [&](int first) { return "k" + std::to_string(choice - first); };
     const auto order = [&](int first) {
       const OnItsWay& one = orders_[static_cast<std::size_t>(choice - first)];
-      return std::string(keeper::name_of(one.order.kind)) + " " + one.order.version + " (epoch " + std::to_string(one.order.epoch) +
-             ", " + std::to_string(one.order.number) + ") to k" + std::to_string(one.to);
+      return std::string(keeper::name_of(one.order.kind)) + " " + one.order.version + " (epoch " +
+             std::to_string(one.order.epoch) + ", " + std::to_string(one.order.number) + ") to k" +
+             std::to_string(one.to);
     };
     if (choice == kTime) return "3 s pass; " + std::string(rollout::name_of(conductor_->state()));
     if (in(kArrives, kMostOrders)) return "arrives: " + order(kArrives);
@@ -257,12 +272,20 @@
   }
 
   std::string line() const override {
-    std::string out = left_.line() + (worse_ ? "w" : "") + (took_back_ ? "t" : "") + broken_ + '|' + conductor_->line(kHorizon) + '|' +
-                      (former_ && left_.turns_of_the_former > 0 ? former_->line(kHorizon) : "") + '|' + put(disk_).dump();
+    std::string out = left_.line() + (worse_ ? "w" : "") + (took_back_ ? "t" : "") + broken_ + '|' +
+                      conductor_->line(kHorizon) + '|' +
+                      (former_ && left_.turns_of_the_former > 0 ? former_->line(kHorizon) : "") + '|' +
+                      put(disk_).dump();
     for (const Keeper& one : keepers_)
-      out += "|" + keeper::put(one.kept) + (one.reachable ? "r" : "c") + std::to_string(one.uses) + "," + std::to_string(one.highest) + "," + std::to_string(one.busy) + std::to_string(one.cut);
-    for (const OnItsWay& one : orders_) out += "|" + std::to_string(one.to) + keeper::put(one.order).dump() + std::to_string(one.age) + (one.held ? "h" : "");
-    if (late_) out += "|late " + std::to_string(late_->first) + late_->second.in_force + late_->second.former + late_->second.outcome + std::to_string(late_->second.epoch) + std::to_string(late_->second.number);
+      out += "|" + keeper::put(one.kept) + (one.reachable ? "r" : "c") + std::to_string(one.uses) + "," +
+             std::to_string(one.highest) + "," + std::to_string(one.busy) + std::to_string(one.cut);
+    for (const OnItsWay& one : orders_)
+      out += "|" + std::to_string(one.to) + keeper::put(one.order).dump() + std::to_string(one.age) +
+             (one.held ? "h" : "");
+    if (late_)
+      out += "|late " + std::to_string(late_->first) + late_->second.in_force + late_->second.former +
+             late_->second.outcome + std::to_string(late_->second.epoch) +
+             std::to_string(late_->second.number);
     return out;
   }
 
@@ -303,7 +326,8 @@
     out.has_version = true;
     // The former process serves until the new one does.
     out.serves = true;
-    if (plant_ == "a keeper says done before it is" && one.kept.outcome == Outcome::under_way) out.outcome = "on_trial";
+    if (plant_ == "a keeper says done before it is" && one.kept.outcome == Outcome::under_way)
+      out.outcome = "on_trial";
     return out;
   }
 
@@ -316,7 +340,9 @@
     }
     own->tick(now_, kWall);
     rollout::Finding finding;
-    finding.verdict = worse_ ? rollout::Verdict::worse : own->soak_over() ? rollout::Verdict::passed : rollout::Verdict::going;
+    finding.verdict = worse_             ? rollout::Verdict::worse
+                      : own->soak_over() ? rollout::Verdict::passed
+                                         : rollout::Verdict::going;
     if (own->kept().stage >= 0) own->judged(finding);
     carry_out(*own);
   }
@@ -328,7 +354,9 @@
     if (plant_ == "orders go out before they are written down" && leads) {
       // Killed in between: what was ordered is on its way and nowhere else.
       for (const rollout::Act& act : acts) order(conductor, act);
-      if (std::any_of(acts.begin(), acts.end(), [](const auto& act) { return act.what == rollout::Act::What::use; })) return;
+      if (std::any_of(acts.begin(), acts.end(),
+                      [](const auto& act) { return act.what == rollout::Act::What::use; }))
+        return;
     }
     for (const rollout::Act& act : acts) {
       if (act.what == rollout::Act::What::keep && leads) disk_ = conductor.kept();
@@ -340,9 +368,11 @@
     const State state = conductor.state();
     for (const Keeper& one : keepers_) {
       if (&one - keepers_.data() >= count()) break;
-      if (state == State::done && (one.kept.in_force != kNew || one.kept.outcome != Outcome::done) && !took_back_)
+      if (state == State::done && (one.kept.in_force != kNew || one.kept.outcome != Outcome::done) &&
+          !took_back_)
         broken_ = "done, and a keeper is on trial still or has gone back";
-      if (state == State::returned && one.kept.in_force == kNew) broken_ = "returned, and a keeper has the new version";
+      if (state == State::returned && one.kept.in_force == kNew)
+        broken_ = "returned, and a keeper has the new version";
     }
   }
 
@@ -352,7 +382,8 @@
     // The second stage only on what the first one shows.
     const std::string first = rollout::stages_of(plan(), members()).front().front();
     const rollout::At shown = conductor.kept().keepers.at(first);
-    if (act.what == What::use && act.keeper != first && shown != rollout::At::on_trial && shown != rollout::At::confirmed)
+    if (act.what == What::use && act.keeper != first && shown != rollout::At::on_trial &&
+        shown != rollout::At::confirmed)
       broken_ = "the second stage begins without the first";
     OnItsWay out;
     out.to = act.keeper[1] - '0';
@@ -362,7 +393,8 @@
     if (act.what != What::confirm) out.order.version = act.version;
     if (act.what == What::use) {
       out.order.trial = 60s;
-      if (plant_ != "what is in force is not asked") out.order.if_in_force = conductor.kept().former.at(act.keeper);
+      if (plant_ != "what is in force is not asked")
+        out.order.if_in_force = conductor.kept().former.at(act.keeper);
     }
     if (orders_.size() < static_cast<std::size_t>(kMostOrders)) orders_.push_back(std::move(out));
   }
@@ -379,13 +411,17 @@
     if (!one.reachable) return;
     keeper::Verdict verdict = keeper::judge(what.order, one.kept, kWall, true);
     const bool idle = one.kept.outcome != Outcome::under_way && one.kept.outcome != Outcome::returning;
-    if (plant_ == "keepers take any epoch" && verdict == keeper::Verdict::old_epoch && idle) verdict = keeper::Verdict::taken;
-    if (plant_ == "keepers take an order twice" && verdict == keeper::Verdict::repeated && idle) verdict = keeper::Verdict::taken;
+    if (plant_ == "keepers take any epoch" && verdict == keeper::Verdict::old_epoch && idle)
+      verdict = keeper::Verdict::taken;
+    if (plant_ == "keepers take an order twice" && verdict == keeper::Verdict::repeated && idle)
+      verdict = keeper::Verdict::taken;
     if (verdict != keeper::Verdict::taken) return;
     if (what.order.epoch < one.highest) broken_ = "an order of a former epoch was taken";
     one.highest = std::max(one.highest, what.order.epoch);
-    const bool anew = what.order.kind == keeper::Kind::use && what.order.version == kNew && one.kept.in_force != kNew;
-    const bool again = what.order.kind == keeper::Kind::use && what.order.version == kNew && one.kept.in_force == kNew;
+    const bool anew =
+        what.order.kind == keeper::Kind::use && what.order.version == kNew && one.kept.in_force != kNew;
+    const bool again =
+        what.order.kind == keeper::Kind::use && what.order.version == kNew && one.kept.in_force == kNew;
     one.kept = keeper::Minder::with(one.kept, what.order, kWall);
     if (what.order.kind == keeper::Kind::confirm) one.kept.outcome = Outcome::done;
     if (what.order.kind == keeper::Kind::use && what.order.version == kOld) one.uses = 0;
@@ -395,14 +431,17 @@
     if (one.uses > 1) broken_ = "a step was repeated at k" + std::to_string(what.to);
     // One at a time.
     int under_way = 0;
-    for (const Keeper& each : keepers_) under_way += each.kept.in_force == kNew && each.kept.outcome == Outcome::under_way ? 1 : 0;
-    if (under_way > plan().at_a_time && conductor_->state() != State::returning) broken_ = "more keepers are being changed than the plan says";
+    for (const Keeper& each : keepers_)
+      under_way += each.kept.in_force == kNew && each.kept.outcome == Outcome::under_way ? 1 : 0;
+    if (under_way > plan().at_a_time && conductor_->state() != State::returning)
+      broken_ = "more keepers are being changed than the plan says";
   }
 
   std::string plant_, broken_;
   Span now_{};
   Left left_;
-  std::shared_ptr<Conductor> conductor_, former_;  // shared between copies; whoever changes one makes it its own
+  std::shared_ptr<Conductor> conductor_,
+      former_;  // shared between copies; whoever changes one makes it its own
   rollout::Kept disk_;
   std::array<Keeper, kKeepers> keepers_;
   std::vector<OnItsWay> orders_;
@@ -415,9 +454,14 @@
 std::unique_ptr<World> first_world(const std::string& plant) { return std::make_unique<RolloutWorld>(plant); }
 
 std::vector<std::string> plants() {
-  return {"a successor takes no new epoch", "a successor forgets what was ordered", "orders go out before they are written down",
-          "keepers take any epoch",         "keepers take an order twice",          "a keeper says done before it is",
-          "what is in force is not asked",  "keepers do not say what they had before"};
+  return {"a successor takes no new epoch",
+          "a successor forgets what was ordered",
+          "orders go out before they are written down",
+          "keepers take any epoch",
+          "keepers take an order twice",
+          "a keeper says done before it is",
+          "what is in force is not asked",
+          "keepers do not say what they had before"};
 }
 
 }  // namespace marbledyke::explore
--- a/src/explore/worlds.h
+++ b/src/explore/worlds.h
@@ -1,7 +1,8 @@
-// Small worlds of shipped state machines for a model checker: a world is everything that the machines, and what lies
-// between them, have at one moment; each thing that may happen next is a choice. Spin (worlds.pml) walks over all
-// choices of all worlds; here worlds that are alike are one, and get a number. Machines are the shipped objects, not
-// models of them. A world that breaks what must hold prints how it came about, in the project's words.
+// Small worlds of shipped state machines for a model checker: a world is everything that the machines, and
+// what lies between them, have at one moment; each thing that may happen next is a choice. Spin (worlds.pml)
+// walks over all choices of all worlds; here worlds that are alike are one, and get a number. Machines are
+// the shipped objects, not models of them. A world that breaks what must hold prints how it came about, in
+// the project's words.
 #pragma once
 
 #include <memory>
--- a/src/fleet/file.cpp
+++ b/src/fleet/file.cpp
@@ -12,7 +12,8 @@
 extern const char* const kSchema;
 
 const KeeperAt* Fleet::find(const std::string& keeper) const {
-  const auto at = std::find_if(keepers.begin(), keepers.end(), [&](const KeeperAt& k) { return k.name == keeper; });
+  const auto at =
+      std::find_if(keepers.begin(), keepers.end(), [&](const KeeperAt& k) { return k.name == keeper; });
   return at == keepers.end() ? nullptr : &*at;
 }
 
@@ -40,7 +41,8 @@
   };
   const auto listed = [&](const xml::Element& at, std::vector<std::string>& into) {
     const std::string name = at.attribute("name").value_or("");
-    if (std::find(into.begin(), into.end(), name) != into.end()) reader.fault(at, "name: " + name + " is there twice");
+    if (std::find(into.begin(), into.end(), name) != into.end())
+      reader.fault(at, "name: " + name + " is there twice");
     into.push_back(name);
   };
   for (const xml::Element& at : root.children()) {
--- a/src/fleet/file.h
+++ b/src/fleet/file.h
@@ -1,5 +1,5 @@
-// A fleet as operators list it, in XML by deploy/fleet.xsd: its zones, groups and keepers. Every fault is named with
-// its line.
+// A fleet as operators list it, in XML by deploy/fleet.xsd: its zones, groups and keepers. Every fault is
+// named with its line.
 #pragma once
 
 #include <optional>
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -43,7 +43,8 @@
       if (answer.status == 200 && answer.body.is_object()) {
         view.answered(keeper.name, answer.body, now_ms());
       } else {
-        view.silent(keeper.name, answer.status != 0 ? "status " + std::to_string(answer.status) : answer.why, now_ms());
+        view.silent(keeper.name, answer.status != 0 ? "status " + std::to_string(answer.status) : answer.why,
+                    now_ms());
       }
     });
   }
@@ -52,7 +53,8 @@
   loop.gather();  // the last is told in a turn of its own
 }
 
-// What was seen before is taken from the file and put back, so that one look after another can say since when.
+// What was seen before is taken from the file and put back, so that one look after another can say since
+// when.
 void remember(const std::string& file, const Fleet& fleet, fleet::View& view) {
   if (file.empty()) return;
   std::ifstream in(file);
@@ -62,9 +64,11 @@
     const std::string name = one.value("name", "");
     if (fleet.find(name) == nullptr) continue;
     if (one.contains("status") && one.value("answered_ms", std::int64_t{0}) > 0)
-      view.answered(name, one["status"], one.value("reachable", false) ? one.value("since_ms", std::int64_t{0})
-                                                                       : one.value("answered_ms", std::int64_t{0}));
-    if (!one.value("reachable", false)) view.silent(name, one.value("why", ""), one.value("since_ms", std::int64_t{0}));
+      view.answered(name, one["status"],
+                    one.value("reachable", false) ? one.value("since_ms", std::int64_t{0})
+                                                  : one.value("answered_ms", std::int64_t{0}));
+    if (!one.value("reachable", false))
+      view.silent(name, one.value("why", ""), one.value("since_ms", std::int64_t{0}));
   }
 }
 
@@ -111,7 +115,8 @@
       attroff(A_BOLD);
       for (std::size_t i = 0; i < room && 1 + from + i + 1 < lines.size(); ++i) {
         const std::string& line = lines[1 + from + i];
-        const bool bad = line.find("UNREACHABLE") != std::string::npos || line.find("given up") != std::string::npos;
+        const bool bad =
+            line.find("UNREACHABLE") != std::string::npos || line.find("given up") != std::string::npos;
         if (bad) attron(A_REVERSE);
         mvaddstr(static_cast<int>(1 + i), 0, line.c_str());
         if (bad) attroff(A_REVERSE);
@@ -131,7 +136,8 @@
   return view.verdict();
 }
 
-// One order to one keeper, by hand. Its epoch and number follow the last that the keeper took, unless they are said.
+// One order to one keeper, by hand. Its epoch and number follow the last that the keeper took, unless they
+// are said.
 int order(const Fleet& fleet, const std::string& name, json order) {
   const fleet::KeeperAt* const keeper = fleet.find(name);
   if (keeper == nullptr) {
@@ -143,7 +149,8 @@
   fleet::Talk talk(loop);
   const auto ask = [&](const char* method, const char* target, const std::string& body) {
     std::optional<fleet::Answer> out;
-    talk.call(keeper->control, method, target, body, kLimit, [&out](const fleet::Answer& answer) { out = answer; });
+    talk.call(keeper->control, method, target, body, kLimit,
+              [&out](const fleet::Answer& answer) { out = answer; });
     while (!out) loop.gather();
     return *out;
   };
@@ -160,8 +167,9 @@
   }
   const fleet::Answer answer = ask("POST", "/order", order.dump());
   if (answer.status == 0 || !answer.body.is_object()) {
-    std::cerr << "marbledyke-fleet: " << name << ": " << answer.why << "; it may have been taken: repeat it with --epoch "
-              << order["epoch"] << " --number " << order["number"] << '\n';
+    std::cerr << "marbledyke-fleet: " << name << ": " << answer.why
+              << "; it may have been taken: repeat it with --epoch " << order["epoch"] << " --number "
+              << order["number"] << '\n';
     return 2;
   }
   std::cout << answer.body.value("verdict", answer.body.value("error", "")) << ", "
@@ -186,7 +194,8 @@
   out.put = with_file(out.group->add_subcommand(
       "put", "Bring a change to agreement; 0: agreed, 1: conflict or refused, 2: no majority, 4: unknown"));
   out.put->add_option("SETTINGS", out.file, "The whole document (JSON)")->required();
-  out.put->add_option("--after", out.after, "The revision that it follows; refused where there is a newer one")
+  out.put
+      ->add_option("--after", out.after, "The revision that it follows; refused where there is a newer one")
       ->check(CLI::NonNegativeNumber);
   out.put->add_option("--share", out.what.share, "For this share of the gatherers")
       ->check(CLI::Range(0.0001, 1.0));
@@ -231,11 +240,14 @@
     command->add_option("FLEET", file, "The fleet's file (XML, deploy/fleet.xsd)")->required();
     return command;
   };
-  CLI::App* const check_command = with_file(app.add_subcommand("check", "Say what is wrong with a fleet's file"));
-  CLI::App* const status_command = with_file(app.add_subcommand("status", "A table of who runs what, and how it serves"));
+  CLI::App* const check_command =
+      with_file(app.add_subcommand("check", "Say what is wrong with a fleet's file"));
+  CLI::App* const status_command =
+      with_file(app.add_subcommand("status", "A table of who runs what, and how it serves"));
   status_command->add_flag("--json", as_json, "All that the keepers say, as JSON");
   status_command->add_option("--seen", seen, "A file that remembers what was seen, to say since when");
-  CLI::App* const watch_command = with_file(app.add_subcommand("watch", "The table, kept up in this terminal"));
+  CLI::App* const watch_command =
+      with_file(app.add_subcommand("watch", "The table, kept up in this terminal"));
   watch_command->add_option("--every", every, "Seconds between two looks")->check(CLI::Range(0.2, 3600.0));
   CLI::App* const order_command = with_file(app.add_subcommand("order", "One order to one keeper"));
   order_command->add_option("KEEPER", name)->required();
@@ -256,15 +268,18 @@
     command->add_option("--folder", folder, "Where the rollout's state is")->required();
     return command;
   };
-  CLI::App* const plan_command = with_plan(rollout->add_subcommand("plan", "Print what would happen, to whom, for how long"));
-  CLI::App* const start_command = with_folder(with_plan(
-      rollout->add_subcommand("start", "Conduct it, or go on with it, until it is over; 0: done, 1: taken back, 3: held")));
+  CLI::App* const plan_command =
+      with_plan(rollout->add_subcommand("plan", "Print what would happen, to whom, for how long"));
+  CLI::App* const start_command = with_folder(with_plan(rollout->add_subcommand(
+      "start", "Conduct it, or go on with it, until it is over; 0: done, 1: taken back, 3: held")));
   CLI::App* const rollout_status_command = with_folder(rollout->add_subcommand("status", "How it stands"));
   rollout_status_command->add_flag("--json", as_json, "All that is compared, as JSON");
-  CLI::App* const pause_command = with_folder(rollout->add_subcommand("pause", "No further step; it is judged on"));
+  CLI::App* const pause_command =
+      with_folder(rollout->add_subcommand("pause", "No further step; it is judged on"));
   CLI::App* const resume_command = with_folder(rollout->add_subcommand("resume", "On from there"));
   CLI::App* const back_command = with_folder(rollout->add_subcommand("back", "Take back what was changed"));
-  CLI::App* const history_command = with_folder(rollout->add_subcommand("history", "Every step and order, with its time"));
+  CLI::App* const history_command =
+      with_folder(rollout->add_subcommand("history", "Every step and order, with its time"));
   ConfigurationCommands settings;
   add_configuration(app, with_file, settings);
   CLI11_PARSE(app, count, words);
@@ -277,7 +292,8 @@
   const std::optional<Fleet> fleet = read(file);
   if (!fleet) return 1;
   if (*check_command) {
-    std::cout << file << ": good, " << fleet->keepers.size() << " keepers in " << fleet->zones.size() << " zones\n";
+    std::cout << file << ": good, " << fleet->keepers.size() << " keepers in " << fleet->zones.size()
+              << " zones\n";
     return 0;
   }
   if (*settings.group) return run_configuration(*fleet, settings);
@@ -285,7 +301,8 @@
     const rollout::Read plan = rollout::read_plan_file(plan_file);
     for (const config::Fault& fault : plan.faults) std::cerr << config::text_of(plan_file, fault) << '\n';
     if (!plan.plan) return 1;
-    return *plan_command ? fleet::rollout_plan(*fleet, *plan.plan) : fleet::rollout_start(*fleet, *plan.plan, folder);
+    return *plan_command ? fleet::rollout_plan(*fleet, *plan.plan)
+                         : fleet::rollout_start(*fleet, *plan.plan, folder);
   }
   if (*status_command) return status(*fleet, as_json, seen);
   if (*watch_command) return watch(*fleet, every);
--- a/src/fleet/rollout.cpp
+++ b/src/fleet/rollout.cpp
@@ -23,7 +23,7 @@
 
 constexpr Span kBeat = 1s;
 constexpr Span kLimit = 2s;
-constexpr Span kKnown = 5s;             // at its start it hears whoever can be heard for so long
+constexpr Span kKnown = 5s;                 // at its start it hears whoever can be heard for so long
 constexpr std::int64_t kSilentMs = 15'000;  // a changed process that tells no window for so long
 constexpr Span kFetched = 3s;               // its windows were fetched within this
 constexpr std::size_t kMostState = 4 * 1024 * 1024;
@@ -53,13 +53,14 @@
   if (const auto text = disk_.read(state_file(folder_), kMostState)) {
     const json before = config::parse(*text);
     const rollout::Kept kept = rollout::read_kept(config::object(before, "kept"));
-    const bool over = kept.state == State::done || kept.state == State::returned || kept.state == State::refused;
+    const bool over =
+        kept.state == State::done || kept.state == State::returned || kept.state == State::refused;
     if (before.value("plan", "") == plan_.name) {
       kept_ = kept;
       found_ = true;
     } else if (!over) {
-      throw config::BadInput(folder_ + ": " + before.value("plan", "") + " is not over there: " +
-                             rollout::name_of(kept.state));
+      throw config::BadInput(folder_ + ": " + before.value("plan", "") +
+                             " is not over there: " + rollout::name_of(kept.state));
     }
   }
   loop_.read_clock();
@@ -149,7 +150,8 @@
   // What could not be fetched is not what was not told.
   const bool fetched = seen.windows_heard && loop_.now() - *seen.windows_heard < kFetched;
   const std::int64_t newest = evidence_.newest(keeper.name);
-  if (fetched && newest > 0 && loop_.clock().wall() / 1ms - newest > kSilentMs) judge->at_once(keeper.name + ": it tells nothing any more");
+  if (fetched && newest > 0 && loop_.clock().wall() / 1ms - newest > kSilentMs)
+    judge->at_once(keeper.name + ": it tells nothing any more");
 }
 
 void Rollout::windows_came(const std::string& keeper, const json& said) {
@@ -170,7 +172,8 @@
   if (conductor_ != nullptr || loop_.now() - begun_ < kKnown) return;
   std::uint64_t epoch = kept_.epoch;
   for (const auto& [name, seen] : seen_) epoch = std::max(epoch, seen.epoch);
-  conductor_ = std::make_unique<rollout::Conductor>(plan_, members_, kept_, epoch + 1, loop_.now(), loop_.clock().wall());
+  conductor_ = std::make_unique<rollout::Conductor>(plan_, members_, kept_, epoch + 1, loop_.now(),
+                                                    loop_.clock().wall());
   remember(std::string(found_ ? "taken over, epoch " : "begun, epoch ") + std::to_string(epoch + 1));
   watched_from_ = loop_.clock().wall() / 1ms;
   conductor_->start();
@@ -183,14 +186,16 @@
   if (state == State::swapping && swapping_since_ == 0) swapping_since_ = loop_.clock().wall() / 1ms;
   if (state != State::swapping && state != State::paused) swapping_since_ = 0;
   // A successor has nothing from before the change: it soaks anew, against nothing but the other side.
-  if ((state == State::soaking || state == State::paused) && evidence_.judge() == nullptr && conductor_->kept().stage >= 0) {
+  if ((state == State::soaking || state == State::paused) && evidence_.judge() == nullptr &&
+      conductor_->kept().stage >= 0) {
     std::set<std::string> changed;
     for (const auto& [name, when] : conductor_->changed()) changed.insert(name);
     evidence_.begin(changed, 0, 0, loop_.clock().wall() / 1ms);
   }
   if (evidence_.judge() == nullptr) return;
   const rollout::Finding finding = evidence_.judge()->look(conductor_->soak_over());
-  finding_ = std::string(rollout::name_of(finding.verdict)) + (finding.what.empty() ? "" : ": " + finding.what) +
+  finding_ = std::string(rollout::name_of(finding.verdict)) +
+             (finding.what.empty() ? "" : ": " + finding.what) +
              (finding.seconds ? "; about " + std::to_string(*finding.seconds) + " s more at this rate" : "");
   if (conductor_->kept().stage >= 0) conductor_->judged(finding);
 }
@@ -213,9 +218,12 @@
       case Act::What::use: {
         // A keeper that hears nothing any more takes it back by itself.
         Span trial = plan_.swap_limit + plan_.burn_in + plan_.longest_wait;
-        for (const rollout::StagePlan& stage : plan_.stages) trial = std::max(trial, plan_.swap_limit + plan_.burn_in + plan_.longest_wait + stage.soak);
-        order(*act, {{"order", "use"}, {"version", act->version}, {"trial_ms", trial / 1ms},
-                            {"if_in_force", conductor_->kept().former.at(act->keeper)}});
+        for (const rollout::StagePlan& stage : plan_.stages)
+          trial = std::max(trial, plan_.swap_limit + plan_.burn_in + plan_.longest_wait + stage.soak);
+        order(*act, {{"order", "use"},
+                     {"version", act->version},
+                     {"trial_ms", trial / 1ms},
+                     {"if_in_force", conductor_->kept().former.at(act->keeper)}});
         break;
       }
       case Act::What::confirm:
@@ -227,11 +235,12 @@
       case Act::What::begin_judging: {
         std::set<std::string> changed;
         for (const auto& [name, when] : conductor_->changed()) changed.insert(name);
-        // A successor was not there before the first change: it takes what was right before this stage's, which its
-        // keepers still have.
+        // A successor was not there before the first change: it takes what was right before this stage's,
+        // which its keepers still have.
         const bool there = watched_until_ > 0;
         const std::int64_t until = there ? watched_until_ : swapping_since_;
-        evidence_.begin(changed, there ? watched_from_ : until - plan_.before / 1ms, until, loop_.clock().wall() / 1ms);
+        evidence_.begin(changed, there ? watched_from_ : until - plan_.before / 1ms, until,
+                        loop_.clock().wall() / 1ms);
         break;
       }
     }
@@ -248,11 +257,14 @@
   what["not_after_ms"] = loop_.clock().wall() / 1ms + 60'000;
   orders_out_ += 1;
   const std::string kind = what["order"];
-  talk_.call(keeper->control, "POST", "/order", what.dump(), kLimit, [this, name, kind](const Answer& answer) {
-    orders_out_ -= 1;
-    remember(name + ": " + kind + ": " +
-             (answer.status == 0 ? answer.why : answer.body.is_object() ? answer.body.value("verdict", answer.body.value("error", "")) : ""));
-  });
+  talk_.call(
+      keeper->control, "POST", "/order", what.dump(), kLimit, [this, name, kind](const Answer& answer) {
+        orders_out_ -= 1;
+        remember(name + ": " + kind + ": " +
+                 (answer.status == 0        ? answer.why
+                  : answer.body.is_object() ? answer.body.value("verdict", answer.body.value("error", ""))
+                                            : ""));
+      });
 }
 
 // What a person says comes as a file with a word in it.
@@ -272,9 +284,13 @@
   json lines = json::array();
   if (evidence_.judge() != nullptr) {
     for (const rollout::Judge::Line& line : evidence_.judge()->lines())
-      lines.push_back({{"op_type", line.stratum.op_type}, {"zone", line.stratum.zone},
-                       {"measure", rollout::name_of(line.measure)}, {"worse_by", line.difference},
-                       {"against", line.wealth_worse}, {"for", line.wealth_sound}, {"blocks", line.blocks}});
+      lines.push_back({{"op_type", line.stratum.op_type},
+                       {"zone", line.stratum.zone},
+                       {"measure", rollout::name_of(line.measure)},
+                       {"worse_by", line.difference},
+                       {"against", line.wealth_worse},
+                       {"for", line.wealth_sound},
+                       {"blocks", line.blocks}});
   }
   const json out = {{"plan", plan_.name},
                     {"version", plan_.version},
@@ -294,7 +310,8 @@
 void Rollout::remember(const std::string& what) {
   const std::int64_t ms = loop_.clock().wall() / 1ms;
   char when[32];
-  std::snprintf(when, sizeof when, "%lld.%03lld ", static_cast<long long>(ms / 1000), static_cast<long long>(ms % 1000));
+  std::snprintf(when, sizeof when, "%lld.%03lld ", static_cast<long long>(ms / 1000),
+                static_cast<long long>(ms % 1000));
   std::ofstream(folder_ + "/history", std::ios::app) << when << plan_.name << ": " << what << '\n';
   std::cout << when << what << std::endl;
 }
@@ -321,17 +338,18 @@
   const auto stages = rollout::stages_of(plan, members_of(fleet));
   Span least = plan.before;
   for (std::size_t i = 0; i < stages.size(); ++i) {
-    const auto rounds = static_cast<std::int64_t>((stages[i].size() + static_cast<std::size_t>(plan.at_a_time) - 1) /
-                                                  static_cast<std::size_t>(plan.at_a_time));
+    const auto rounds =
+        static_cast<std::int64_t>((stages[i].size() + static_cast<std::size_t>(plan.at_a_time) - 1) /
+                                  static_cast<std::size_t>(plan.at_a_time));
     const Span time = plan.burn_in + plan.stages[i].soak + rounds * Span(5s);
     least += time;
-    std::cout << plan.stages[i].name << ": " << stages[i].size() << " keepers, " << plan.at_a_time << " at a time, about "
-              << time / 1s << " s:";
+    std::cout << plan.stages[i].name << ": " << stages[i].size() << " keepers, " << plan.at_a_time
+              << " at a time, about " << time / 1s << " s:";
     for (const std::string& name : stages[i]) std::cout << ' ' << name;
     std::cout << '\n';
   }
-  std::cout << "in all at least " << least / 1s << " s; a sound change is stopped in " << plan.limits.false_stops * 100
-            << "% of rollouts at most\n";
+  std::cout << "in all at least " << least / 1s << " s; a sound change is stopped in "
+            << plan.limits.false_stops * 100 << "% of rollouts at most\n";
   return objected(fleet, plan) ? 1 : 0;
 }
 
@@ -366,12 +384,15 @@
     }
     const rollout::Kept kept = rollout::read_kept(config::object(state, "kept"));
     const std::int64_t now = machine_clock().wall() / 1ms;
-    std::cout << state.value("plan", "") << ": " << rollout::name_of(kept.state) << ", stage " << kept.stage + 1 << ", for "
-              << (now - kept.since_ms) / 1000 << " s" << (kept.why.empty() ? "" : "; " + kept.why) << '\n'
+    std::cout << state.value("plan", "") << ": " << rollout::name_of(kept.state) << ", stage "
+              << kept.stage + 1 << ", for " << (now - kept.since_ms) / 1000 << " s"
+              << (kept.why.empty() ? "" : "; " + kept.why) << '\n'
               << "judge: " << state.value("finding", "") << '\n';
     if (now - state.value("wall_ms", now) > 10'000)
-      std::cout << "nobody conducts it: its state is " << (now - state.value("wall_ms", now)) / 1000 << " s old\n";
-    for (const auto& [name, at] : kept.keepers) std::cout << "  " << name << ": " << rollout::name_of(at) << '\n';
+      std::cout << "nobody conducts it: its state is " << (now - state.value("wall_ms", now)) / 1000
+                << " s old\n";
+    for (const auto& [name, at] : kept.keepers)
+      std::cout << "  " << name << ": " << rollout::name_of(at) << '\n';
     return 0;
   } catch (const std::exception& wrong) {
     std::cerr << "marbledyke-fleet: " << wrong.what() << '\n';
--- a/src/fleet/rollout.h
+++ b/src/fleet/rollout.h
@@ -1,5 +1,6 @@
-// Carries out a rolling change over a fleet's keepers: asks them, gives their windows to the judge and what they say to
-// the conductor, and gives the orders that it decides on. Its state is in a folder; one conductor a folder.
+// Carries out a rolling change over a fleet's keepers: asks them, gives their windows to the judge and what
+// they say to the conductor, and gives the orders that it decides on. Its state is in a folder; one conductor
+// a folder.
 #pragma once
 
 #include <memory>
@@ -16,8 +17,10 @@
 
 class Rollout {
  public:
-  // Throws config::BadInput where another conductor has the folder, or it holds another rollout that is not over.
-  Rollout(net::Loop& loop, disk::Disk& disk, const Fleet& fleet, const rollout::Plan& plan, const std::string& folder);
+  // Throws config::BadInput where another conductor has the folder, or it holds another rollout that is not
+  // over.
+  Rollout(net::Loop& loop, disk::Disk& disk, const Fleet& fleet, const rollout::Plan& plan,
+          const std::string& folder);
   ~Rollout();
   Rollout(const Rollout&) = delete;
   Rollout& operator=(const Rollout&) = delete;
--- a/src/fleet/talk.cpp
+++ b/src/fleet/talk.cpp
@@ -40,7 +40,9 @@
   const std::uint64_t number = call->number = next_++;
   call->told = std::move(what.told);
   calls_.emplace(number, std::move(made));
-  call->limit = loop_.at(loop_.now() + what.limit, [this, number] { finish(number, {0, nullptr, "no answer in time"}); });
+  call->limit = loop_.at(loop_.now() + what.limit, [this, number] {
+    finish(number, {0, nullptr, "no answer in time"});
+  });
   net::Descriptor fd = net::start_connect(what.to);
   if (!fd) {
     const std::string why = std::strerror(errno);
--- a/src/fleet/talk.h
+++ b/src/fleet/talk.h
@@ -34,8 +34,8 @@
   Talk& operator=(const Talk&) = delete;
 
   // Told once, in a later turn. The limit counts from when the call begins.
-  void call(const net::Address& to, const std::string& method, const std::string& target, const std::string& body,
-            Span limit, Told told);
+  void call(const net::Address& to, const std::string& method, const std::string& target,
+            const std::string& body, Span limit, Told told);
   std::size_t out() const { return calls_.size() + waiting_.size(); }
 
  private:
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -37,7 +37,8 @@
   if (!process->value("healthy", false)) return "not healthy";
   if (text(*process, "answers") == "no") return "mute";
   const std::string outcome = text(status, "outcome");
-  if (outcome == "under_way" || outcome == "returning" || outcome == "held" || outcome == "on_trial") return outcome;
+  if (outcome == "under_way" || outcome == "returning" || outcome == "held" || outcome == "on_trial")
+    return outcome;
   return "serves";
 }
 
@@ -97,15 +98,16 @@
 }
 
 std::vector<std::string> View::table(std::int64_t now_ms, std::size_t width) const {
-  std::vector<std::vector<std::string>> rows{
-      {"KEEPER", "ZONE", "STATE", "VERSION", "SINCE", "ASKED/S", "GOOD", "P99 MS", "BACK", "MB", "ENDS", "ORDER"}};
+  std::vector<std::vector<std::string>> rows{{"KEEPER", "ZONE", "STATE", "VERSION", "SINCE", "ASKED/S",
+                                              "GOOD", "P99 MS", "BACK", "MB", "ENDS", "ORDER"}};
   double taken = 0, good = 0;
   std::map<std::string, int> versions, states;
   for (const KeeperAt& keeper : fleet_.keepers) {
     const Seen* const one = seen(keeper.name);
     if (one == nullptr || !one->reachable) {
       const std::string since = one == nullptr ? "not asked" : "for " + ago(now_ms - one->since_ms);
-      const std::string last = one == nullptr || one->answered_ms == 0 ? "" : text(one->status, "in_force") + "?";
+      const std::string last =
+          one == nullptr || one->answered_ms == 0 ? "" : text(one->status, "in_force") + "?";
       rows.push_back({keeper.name, keeper.zone, "UNREACHABLE", last, since, "", "", "", "", "", "",
                       one == nullptr ? "" : one->why});
       states["unreachable"] += 1;
@@ -121,8 +123,9 @@
       const double asked = number(recent, "taken");
       row.push_back(ago(now_ms - static_cast<std::int64_t>(number(*process, "since_ms"))));
       row.push_back(fixed("%.1f", asked / 10));
-      row.push_back(percent(number(recent, "in_budget"), number(recent, "answered") + number(recent, "pushed_back") +
-                                                              number(recent, "failed")));
+      row.push_back(
+          percent(number(recent, "in_budget"),
+                  number(recent, "answered") + number(recent, "pushed_back") + number(recent, "failed")));
       row.push_back(fixed("%.1f", number(recent, "p99_us") / 1000));
       row.push_back(percent(number(recent, "pushed_back"), asked));
       row.push_back(fixed("%.0f", number(*process, "rss_bytes") / 1e6));
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -1,5 +1,5 @@
-// A fleet as it was last seen, and as people read it: who runs what, how it serves, what cannot be reached and since
-// when. Without I/O.
+// A fleet as it was last seen, and as people read it: who runs what, how it serves, what cannot be reached
+// and since when. Without I/O.
 #pragma once
 
 #include <cstdint>
@@ -15,10 +15,10 @@
 
 struct Seen {
   bool reachable = false;
-  std::int64_t since_ms = 0;      // reachable or not since then, as far as this tool was there to see
-  std::int64_t answered_ms = 0;   // its last answer; 0: none yet
-  std::string why;                // it is not
-  nlohmann::json status;          // of its last answer
+  std::int64_t since_ms = 0;     // reachable or not since then, as far as this tool was there to see
+  std::int64_t answered_ms = 0;  // its last answer; 0: none yet
+  std::string why;               // it is not
+  nlohmann::json status;         // of its last answer
 };
 
 class View {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -64,7 +64,7 @@
   virtual void part_with_all() = 0;  // from now on each connection is closed after its answer
   virtual void close_idle(Span since) = 0;
 
-  virtual bool make_room() = 0;  // ends the connection that can best be spared
+  virtual bool make_room() = 0;    // ends the connection that can best be spared
   virtual bool empty() const = 0;  // no client is connected; in a planned stop also: none can come any more
   virtual bool writing() const { return false; }  // a client has not read all of its answer yet
   virtual std::size_t size() const = 0;
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -20,8 +20,8 @@
 // much more.
 constexpr Span kLongestStop = 3s;
 constexpr Span kBeforeForce = 700ms;
-// Of that so much is kept for the last answers' way: the signal may be read late, an answer waits up to kSlack and a tick
-// for sends that are under way, and then it has to be written.
+// Of that so much is kept for the last answers' way: the signal may be read late, an answer waits up to
+// kSlack and a tick for sends that are under way, and then it has to be written.
 constexpr Span kLastAnswers = 200ms;
 // And of these so much for answers that clients have not read yet: the end of the process would cut them.
 constexpr Span kSlowReaders = 150ms;
@@ -29,8 +29,8 @@
 constexpr Span kSlack = 50ms;
 // Later than that what was due may miss a latency budget; an ordinary turn takes well under a millisecond.
 constexpr Span kLongTurn = 20ms;
-// What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice, a
-// file that is read again.
+// What this program itself holds open: three standard streams, epoll, signals, the listener, discovery twice,
+// a file that is read again.
 constexpr int kOwnDescriptors = 9;
 
 // The descriptors left for clients beside those that each listed server may need.
@@ -62,10 +62,11 @@
       unix_start_((loop_.read_clock(), clock.wall() - loop_.now())),
       choice_(commission.terms, commission.seed),
       servers_(loop_, commission.carriage, commission.seed, [this] { return make_room(); }),
-      clients_(loop_, commission.carriage, commission.listen, client_room(commission, known_servers(commission)),
-               std::move(listening)),
+      clients_(loop_, commission.carriage, commission.listen,
+               client_room(commission, known_servers(commission)), std::move(listening)),
       watch_(loop_, commission, unix_start_,
-             {[this](list::News news) { news_.push_back(std::move(news)); }, [this](Span most_backoff) { refusals_.push_back(most_backoff); }}),
+             {[this](list::News news) { news_.push_back(std::move(news)); },
+              [this](Span most_backoff) { refusals_.push_back(most_backoff); }}),
       hand_(static_cast<std::size_t>(commission.carriage.most_in_hand)) {
   loop_.tell_long_turns(kLongTurn, [this](const net::Loop::Turn& turn) {
     long_turns_.event({{"ms", turn.took / 1ms}, {"processor_ms", turn.processor / 1ms}, {"in_hand", open_}});
@@ -110,10 +111,10 @@
   if (std::any_of(carriers_.begin(), carriers_.end(),
                   [](const auto& one) { return !one->ended.empty() || !one->probed.empty(); }))
     return true;
-  return woken_ || !servers_.ended.empty() || !servers_.probed.empty() || !news_.empty() || !refusals_.empty() ||
-         !second_steps_.empty() || std::any_of(fronts_.begin(), fronts_.end(), [](const front::Front* one) {
-           return !one->asked.empty() || !one->left.empty();
-         });
+  return woken_ || !servers_.ended.empty() || !servers_.probed.empty() || !news_.empty() ||
+         !refusals_.empty() || !second_steps_.empty() ||
+         std::any_of(fronts_.begin(), fronts_.end(),
+                     [](const front::Front* one) { return !one->asked.empty() || !one->left.empty(); });
 }
 
 // The front with the most connections gives one up first.
@@ -231,9 +232,8 @@
   from = to;
   if (pushed_now) watch_.ask(true);
   if (fresh.settings_index) {
-    log::event(
-        log::Level::info, "configuration.settings_taken",
-        {{"changed", changed}, {"in_hand", open_}, {"settings_index", *fresh.settings_index}});
+    log::event(log::Level::info, "configuration.settings_taken",
+               {{"changed", changed}, {"in_hand", open_}, {"settings_index", *fresh.settings_index}});
   } else {
     log::event(log::Level::info, "configuration.settings_taken", {{"changed", changed}, {"in_hand", open_}});
   }
@@ -316,8 +316,8 @@
   }
 }
 
-// Nothing is sent for it any more: what still waits for its connection is never written, also where the terms do not let
-// a send be cancelled that was.
+// Nothing is sent for it any more: what still waits for its connection is never written, also where the terms
+// do not let a send be cancelled that was.
 void Gatherer::over(InHand& mg) {
   mg.over = true;
   --open_;
@@ -387,7 +387,8 @@
     done_.no_room += 1;
     if (record_) {
       totals::Count& count =
-          record_->window.by_op_type[commission_.carriage.op_types[static_cast<std::size_t>(ask.op_type)].name];
+          record_->window
+              .by_op_type[commission_.carriage.op_types[static_cast<std::size_t>(ask.op_type)].name];
       count.taken += 1;
       count.pushed_back += 1;
     }
@@ -626,8 +627,8 @@
            [this] { tell_window(); });
 }
 
-// A second that ended while the process stood still is told of late, under its own time; those in which it did
-// nothing at all are not told of.
+// A second that ended while the process stood still is told of late, under its own time; those in which it
+// did nothing at all are not told of.
 void Gatherer::tell_window() {
   Record& record = *record_;
   const std::int64_t ms = loop_.clock().wall() / 1ms;
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -50,7 +50,8 @@
   void operate(const operator_file::Terms& terms);
   net::Loop& loop() { return loop_; }
   void report();  // a log line of what has been done
-  // From now on each second of the wall clock is counted by op type and told, one line of JSON each, after it.
+  // From now on each second of the wall clock is counted by op type and told, one line of JSON each, after
+  // it.
   void record(std::function<void(const std::string& line)> told);
   const servers::Tally& tally() const { return servers_.tally(); }
   const servers::Servers& servers() const { return servers_; }
--- a/src/keeper/child.cpp
+++ b/src/keeper/child.cpp
@@ -112,7 +112,8 @@
 
 Child::Child(net::Loop& loop, std::string folder, int slot, Told told)
     : loop_(loop), folder_(std::move(folder)), slot_(slot), told_(std::move(told)) {
-  reading_ = std::make_unique<Reading>(loop_, at("events"), [this](const std::string& line) { told_.line(line); });
+  reading_ =
+      std::make_unique<Reading>(loop_, at("events"), [this](const std::string& line) { told_.line(line); });
 }
 
 Child::~Child() {
@@ -242,7 +243,8 @@
   if (!pidfd_ || fields.size() < 22) return out;
   const auto tick = static_cast<double>(sysconf(_SC_CLK_TCK));
   out.cpu = (std::strtod(fields[11].c_str(), nullptr) + std::strtod(fields[12].c_str(), nullptr)) / tick;
-  out.rss = std::strtoull(fields[21].c_str(), nullptr, 10) * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+  out.rss =
+      std::strtoull(fields[21].c_str(), nullptr, 10) * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
   return out;
 }
 
--- a/src/keeper/child.h
+++ b/src/keeper/child.h
@@ -1,6 +1,6 @@
-// A gatherer as a keeper's process. Each of the two slots of a folder has a lock that the process holds for as
-// long as it lives, so that there are never three, and a keeper that is started anew knows whether one is there
-// whatever pid is written beside it; and a named pipe, through which it tells its events.
+// A gatherer as a keeper's process. Each of the two slots of a folder has a lock that the process holds for
+// as long as it lives, so that there are never three, and a keeper that is started anew knows whether one is
+// there whatever pid is written beside it; and a named pipe, through which it tells its events.
 #pragma once
 
 #include <sys/types.h>
@@ -18,13 +18,14 @@
 
 // What /proc tells of a process.
 struct Usage {
-  double cpu = 0;          // seconds, user and kernel
-  std::uint64_t rss = 0;   // bytes
+  double cpu = 0;         // seconds, user and kernel
+  std::uint64_t rss = 0;  // bytes
 };
 
 struct Born {
   pid_t pid = -1;
-  std::uint64_t ticks = 0;  // its start, in the machine's ticks since boot: tells it from a later one of that pid
+  std::uint64_t ticks =
+      0;  // its start, in the machine's ticks since boot: tells it from a later one of that pid
   std::string version;
 };
 
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -39,9 +39,7 @@
 }
 
 // A share of chance that is this keeper's own, so that those of a fleet do not wait in step.
-double jitter_of(const std::string& name) {
-  return static_cast<double>(hash_text(name) % 1000) / 2000.0;
-}
+double jitter_of(const std::string& name) { return static_cast<double>(hash_text(name) % 1000) / 2000.0; }
 
 json counts(const totals::Count& c) {
   json out = totals::put(c);
@@ -124,16 +122,16 @@
     if (listener_) continue;
     listening_ = listen_of(found[i]->version);
     listener_ = slots_[i].child->listener_of(listening_);
-    if (!listener_) log::event(log::Level::warning, "keeper.listener_not_regained", {{"address", listening_}});
+    if (!listener_)
+      log::event(log::Level::warning, "keeper.listener_not_regained", {{"address", listening_}});
   }
   minder_->resume(versions_.facts(kept.in_force), versions_.facts(kept.former),
                   kept.order && versions_.has(kept.order->version));
   start_settings();
-  control_ = std::make_unique<Control>(
-      loop_, options_.control,
-      [this](const std::string& method, const std::string& target, const std::string& body) {
-        return asked(method, target, body);
-      });
+  control_ =
+      std::make_unique<Control>(loop_, options_.control,
+                                [this](const std::string& method, const std::string& target,
+                                       const std::string& body) { return asked(method, target, body); });
   carry_out();
   beat();
 }
@@ -179,7 +177,8 @@
           versions_.link(act->version);
           minder_->linked();
         } catch (const disk::DiskError& wrong) {
-          log::event(log::Level::error, "keeper.not_linked", {{"version", act->version}, {"why", wrong.what()}});
+          log::event(log::Level::error, "keeper.not_linked",
+                     {{"version", act->version}, {"why", wrong.what()}});
           minder_->not_linked(wrong.what());
         }
         break;
@@ -218,7 +217,8 @@
     write_wrong_.clear();
     return true;
   } catch (const disk::DiskError& wrong) {
-    if (write_wrong_ != wrong.what()) log::event(log::Level::error, "keeper.state_not_written", {{"why", wrong.what()}});
+    if (write_wrong_ != wrong.what())
+      log::event(log::Level::error, "keeper.state_not_written", {{"why", wrong.what()}});
     write_wrong_ = wrong.what();
     return false;
   }
@@ -233,8 +233,8 @@
   }
 }
 
-// The socket that clients connect to is this process's, and inherited: while one gatherer follows another, whoever
-// connects waits in its queue. -1: the gatherer opens its own.
+// The socket that clients connect to is this process's, and inherited: while one gatherer follows another,
+// whoever connects waits in its queue. -1: the gatherer opens its own.
 int Keeper::listener_for(const std::string& version) {
   const std::string wanted = listen_of(version);
   if (listener_ && wanted == listening_) return listener_.get();
@@ -255,7 +255,8 @@
     start.version = version;
     start.program = versions_.path(version) + "/marbledyke";
     start.configuration = versions_.current() + "/config.json";
-    if (facts.program.ends_with(kWithOperatorFile)) start.operator_file = versions_.current() + "/operator.xml";
+    if (facts.program.ends_with(kWithOperatorFile))
+      start.operator_file = versions_.current() + "/operator.xml";
     if (settings_) start.settings = settings_->file();
     start.listener = listener_for(version);
     slot.child->begin(start);
@@ -324,7 +325,8 @@
   health_ = std::make_unique<net::Stream>(
       loop_, std::move(fd), false, 4096, 4096,
       net::Stream::Told{[this] {
-                          health_->out().put("GET /healthz HTTP/1.1\r\nHost: keeper\r\nConnection: close\r\n\r\n");
+                          health_->out().put(
+                              "GET /healthz HTTP/1.1\r\nHost: keeper\r\nConnection: close\r\n\r\n");
                           health_->flush();
                         },
                         [this] {
@@ -371,8 +373,10 @@
     if (!damaged.empty()) wrong = each + ": " + damaged;
   }
   if (!wrong.empty()) return minder_->versions_done(wrong);
-  const auto step = [&](const std::string& program, const std::string& settings, bool must, const std::string& what) {
-    Tryout::Step out{what, versions_.path(program) + "/marbledyke", {versions_.path(settings) + "/config.json"}, must};
+  const auto step = [&](const std::string& program, const std::string& settings, bool must,
+                        const std::string& what) {
+    Tryout::Step out{
+        what, versions_.path(program) + "/marbledyke", {versions_.path(settings) + "/config.json"}, must};
     if (versions_.facts(settings).program.ends_with(kWithOperatorFile))
       out.files.push_back(versions_.path(settings) + "/operator.xml");
     return out;
@@ -498,32 +502,32 @@
   if (const auto again = m.starts_again())
     out["starts_again_in_ms"] = std::max<std::int64_t>((*again - loop_.now()) / 1ms, 0);
   for (const auto& [id, facts] : versions_.all())
-    out["versions"].push_back({{"id", id}, {"program", facts.program}, {"configuration", facts.configuration}});
+    out["versions"].push_back(
+        {{"id", id}, {"program", facts.program}, {"configuration", facts.configuration}});
   const std::int64_t recent = loop_.clock().wall() / 1ms - kRecentMs;
   for (int i = 0; i < kSlots; ++i) {
     const Slot& slot = slots_[i];
     if (m.life(i) == Life::none) continue;
     const Health health = m.health_of(i);
     const Usage usage = slot.child->usage();
-    out["processes"].push_back(
-        {{"slot", i},
-         {"leads", i == m.lead()},
-         {"pid", slot.child->pid()},
-         {"version", m.version(i)},
-         {"since_ms", slot.began_ms},
-         {"life", name_of(m.life(i))},
-         {"healthy", health.healthy},
-         {"answers", health.answers == Health::Answers::yes  ? "yes"
-                     : health.answers == Health::Answers::no ? "no"
-                                                             : "not asked"},
-         {"cpu_s", usage.cpu},
-         {"rss_bytes", usage.rss},
-         {"windows", slot.windows},
-         {"windows_missed", slot.missed},
-         {"lines_unreadable", slot.unreadable},
-         {"broken_invariants", slot.series.since_start().broken_invariants},
-         {"totals", counts(slot.series.since_start())},
-         {"recent", counts(slot.series.merged(recent, recent + 2 * kRecentMs))}});
+    out["processes"].push_back({{"slot", i},
+                                {"leads", i == m.lead()},
+                                {"pid", slot.child->pid()},
+                                {"version", m.version(i)},
+                                {"since_ms", slot.began_ms},
+                                {"life", name_of(m.life(i))},
+                                {"healthy", health.healthy},
+                                {"answers", health.answers == Health::Answers::yes  ? "yes"
+                                            : health.answers == Health::Answers::no ? "no"
+                                                                                    : "not asked"},
+                                {"cpu_s", usage.cpu},
+                                {"rss_bytes", usage.rss},
+                                {"windows", slot.windows},
+                                {"windows_missed", slot.missed},
+                                {"lines_unreadable", slot.unreadable},
+                                {"broken_invariants", slot.series.since_start().broken_invariants},
+                                {"totals", counts(slot.series.since_start())},
+                                {"recent", counts(slot.series.merged(recent, recent + 2 * kRecentMs))}});
   }
   return out.dump();
 }
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -1,5 +1,5 @@
-// The keeper of one machine's gatherer: carries out what keeper::Minder decides, over processes, files and the
-// control address, and tells it what happens. Decides nothing itself.
+// The keeper of one machine's gatherer: carries out what keeper::Minder decides, over processes, files and
+// the control address, and tells it what happens. Decides nothing itself.
 #pragma once
 
 #include <functional>
--- a/src/keeper/minder.cpp
+++ b/src/keeper/minder.cpp
@@ -19,18 +19,18 @@
 enum class SwapDo {
   nothing,
   impossible,
-  go,         // link the target; have it read, or begin it beside the present one
-  begin,      // begin what is in force
-  prove,      // from now on it has to be sound
-  follow,     // the process beside has come up: the former is told to stop, then prove
-  complete,   // sound: done, or on trial
-  confirm,    // the trial is over, well
-  refuse,     // nothing has changed: link the former again
-  go_back,    // link the former; have it read, or begin it beside
-  stand,      // what was begun beside did not come up; the present one serves on
-  returned,   // the way back is proved
-  hold,       // the way back has failed too
-  abandon     // stopped by order: what was not proved is not in force
+  go,        // link the target; have it read, or begin it beside the present one
+  begin,     // begin what is in force
+  prove,     // from now on it has to be sound
+  follow,    // the process beside has come up: the former is told to stop, then prove
+  complete,  // sound: done, or on trial
+  confirm,   // the trial is over, well
+  refuse,    // nothing has changed: link the former again
+  go_back,   // link the former; have it read, or begin it beside
+  stand,     // what was begun beside did not come up; the present one serves on
+  returned,  // the way back is proved
+  hold,      // the way back has failed too
+  abandon    // stopped by order: what was not proved is not in force
 };
 
 enum class WillDo { nothing, begin, stop, rest, give_up, forgive };
@@ -118,8 +118,17 @@
 // use, taken, not_taken, needs_start, serves, not_started, sound, unsound, limit, confirmed, stop
 constexpr SwapNext kSwaps[8][11] = {
     /* none */
-    {{W::go, S::reading, S::beside}, ignore(S::none), ignore(S::none), ignore(S::none), ignore(S::none),
-     ignore(S::none), never(S::none), never(S::none), never(S::none), ignore(S::none), ignore(S::none)},
+    {{W::go, S::reading, S::beside},
+     ignore(S::none),
+     ignore(S::none),
+     ignore(S::none),
+     ignore(S::none),
+     ignore(S::none),
+     never(S::none),
+     never(S::none),
+     never(S::none),
+     ignore(S::none),
+     ignore(S::none)},
     /* reading */
     {never(S::reading), to(W::prove, S::proving), to(W::refuse, S::none), to(W::begin, S::beside),
      ignore(S::reading), to(W::begin, S::beside), never(S::reading), ignore(S::reading),
@@ -129,18 +138,34 @@
      to(W::stand, S::none), never(S::beside), ignore(S::beside), never(S::beside), ignore(S::beside),
      to(W::abandon, S::none)},
     /* proving */
-    {never(S::proving), ignore(S::proving), ignore(S::proving), ignore(S::proving), ignore(S::proving),
-     never(S::proving), to(W::complete, S::none), {W::go_back, S::back_reading, S::back_beside},
-     {W::go_back, S::back_reading, S::back_beside}, ignore(S::proving), to(W::abandon, S::none)},
+    {never(S::proving),
+     ignore(S::proving),
+     ignore(S::proving),
+     ignore(S::proving),
+     ignore(S::proving),
+     never(S::proving),
+     to(W::complete, S::none),
+     {W::go_back, S::back_reading, S::back_beside},
+     {W::go_back, S::back_reading, S::back_beside},
+     ignore(S::proving),
+     to(W::abandon, S::none)},
     /* trial */
-    {{W::go, S::reading, S::beside}, ignore(S::trial), ignore(S::trial), ignore(S::trial), ignore(S::trial),
-     never(S::trial), never(S::trial), {W::go_back, S::back_reading, S::back_beside},
-     {W::go_back, S::back_reading, S::back_beside}, to(W::confirm, S::none), to(W::abandon, S::none)},
+    {{W::go, S::reading, S::beside},
+     ignore(S::trial),
+     ignore(S::trial),
+     ignore(S::trial),
+     ignore(S::trial),
+     never(S::trial),
+     never(S::trial),
+     {W::go_back, S::back_reading, S::back_beside},
+     {W::go_back, S::back_reading, S::back_beside},
+     to(W::confirm, S::none),
+     to(W::abandon, S::none)},
     /* back_reading */
     {never(S::back_reading), to(W::prove, S::back_proving), to(W::begin, S::back_beside),
      to(W::begin, S::back_beside), ignore(S::back_reading), to(W::begin, S::back_beside),
-     never(S::back_reading), ignore(S::back_reading), to(W::begin, S::back_beside),
-     ignore(S::back_reading), to(W::abandon, S::none)},
+     never(S::back_reading), ignore(S::back_reading), to(W::begin, S::back_beside), ignore(S::back_reading),
+     to(W::abandon, S::none)},
     /* back_beside */
     {never(S::back_beside), ignore(S::back_beside), ignore(S::back_beside), ignore(S::back_beside),
      to(W::follow, S::back_proving), to(W::hold, S::none), never(S::back_beside), ignore(S::back_beside),
@@ -155,20 +180,45 @@
 // wanted, unwanted, begins, fell, fell_too_often, rested, leave
 constexpr WillNext kWills[5][7] = {
     /* off */
-    {{X::begin, V::running}, {X::nothing, V::off}, {X::nothing, V::running}, {X::nothing, V::off},
-     {X::nothing, V::off}, {X::nothing, V::off}, {X::stop, V::leaving}},
+    {{X::begin, V::running},
+     {X::nothing, V::off},
+     {X::nothing, V::running},
+     {X::nothing, V::off},
+     {X::nothing, V::off},
+     {X::nothing, V::off},
+     {X::stop, V::leaving}},
     /* resting */
-    {{X::begin, V::running}, {X::stop, V::off}, {X::nothing, V::running}, {X::nothing, V::resting},
-     {X::nothing, V::resting}, {X::begin, V::running}, {X::stop, V::leaving}},
+    {{X::begin, V::running},
+     {X::stop, V::off},
+     {X::nothing, V::running},
+     {X::nothing, V::resting},
+     {X::nothing, V::resting},
+     {X::begin, V::running},
+     {X::stop, V::leaving}},
     /* running */
-    {{X::nothing, V::running}, {X::stop, V::off}, {X::nothing, V::running}, {X::rest, V::resting},
-     {X::give_up, V::given_up}, {X::nothing, V::running}, {X::stop, V::leaving}},
+    {{X::nothing, V::running},
+     {X::stop, V::off},
+     {X::nothing, V::running},
+     {X::rest, V::resting},
+     {X::give_up, V::given_up},
+     {X::nothing, V::running},
+     {X::stop, V::leaving}},
     /* given_up */
-    {{X::forgive, V::running}, {X::stop, V::off}, {X::nothing, V::running}, {X::nothing, V::given_up},
-     {X::nothing, V::given_up}, {X::nothing, V::given_up}, {X::stop, V::leaving}},
+    {{X::forgive, V::running},
+     {X::stop, V::off},
+     {X::nothing, V::running},
+     {X::nothing, V::given_up},
+     {X::nothing, V::given_up},
+     {X::nothing, V::given_up},
+     {X::stop, V::leaving}},
     /* leaving */
-    {{X::nothing, V::leaving}, {X::nothing, V::leaving}, {X::nothing, V::leaving}, {X::nothing, V::leaving},
-     {X::nothing, V::leaving}, {X::nothing, V::leaving}, {X::nothing, V::leaving}}};
+    {{X::nothing, V::leaving},
+     {X::nothing, V::leaving},
+     {X::nothing, V::leaving},
+     {X::nothing, V::leaving},
+     {X::nothing, V::leaving},
+     {X::nothing, V::leaving},
+     {X::nothing, V::leaving}}};
 
 template <typename E>
 constexpr std::size_t place(E e) {
@@ -214,7 +264,8 @@
     const bool done = has_ordered == (kept_.order->kind == Kind::take);
     finish(done ? Outcome::done : Outcome::refused, done ? "" : "the keeper ended before it was done");
   }
-  if (open && kept_.order->kind == Kind::try_out) finish(Outcome::refused, "the keeper ended before it was done");
+  if (open && kept_.order->kind == Kind::try_out)
+    finish(Outcome::refused, "the keeper ended before it was done");
   if (!kept_.wanted) {
     if (will_ == Will::running) on(WillEvent::unwanted);
     if (kept_.outcome == Outcome::under_way && !first && !second) finish(Outcome::done, "");
@@ -228,8 +279,8 @@
     return bring_back(Swap::back_reading, Swap::back_beside);
   }
   if (kept_.outcome == Outcome::on_trial && swapping) {
-    const Span ran = std::clamp(wall_ - Span(std::chrono::milliseconds(kept_.since_ms)), Span::zero(),
-                                kept_.order->trial);
+    const Span ran =
+        std::clamp(wall_ - Span(std::chrono::milliseconds(kept_.since_ms)), Span::zero(), kept_.order->trial);
     trial_until_ = now_ + kept_.order->trial - ran;
     swap_ = Swap::trial;
     swap_since_ = now_;
@@ -285,7 +336,8 @@
       former_ = former;
       return on(SwapEvent::use);
     case Kind::run:
-      if (will_ == Will::running && at(lead_).life == Life::serving) return finish(Outcome::done, "runs already");
+      if (will_ == Will::running && at(lead_).life == Life::serving)
+        return finish(Outcome::done, "runs already");
       return on(WillEvent::wanted);
     case Kind::stop:
       on(SwapEvent::stop);
@@ -333,7 +385,8 @@
 // The version could not be brought in force, so nothing is read or begun on the strength of it.
 void Minder::not_linked(const std::string& why) {
   unlinked_ = true;
-  std::erase_if(acts_, [](const Act& one) { return one.what == Act::What::hup || one.what == Act::What::begin; });
+  std::erase_if(acts_,
+                [](const Act& one) { return one.what == Act::What::hup || one.what == Act::What::begin; });
   waits_to_begin_.reset();
   swap_why_ = "not linked: " + why;
   switch (swap_) {
@@ -426,11 +479,11 @@
     const One& one = at(slot);
     if (one.life == Life::serving && !sound(one)) on(slot, LifeEvent::silent);
     if (one.life == Life::hung && sound(one)) on(slot, LifeEvent::speaks);
-    const Span limit = one.life == Life::starting   ? policy_.start_limit
-                       : one.life == Life::hung     ? policy_.hung_limit
-                       : one.life == Life::stopping ? policy_.stop_limit
+    const Span limit = one.life == Life::starting                             ? policy_.start_limit
+                       : one.life == Life::hung                               ? policy_.hung_limit
+                       : one.life == Life::stopping                           ? policy_.stop_limit
                        : one.life == Life::killed || one.life == Life::felled ? policy_.kill_limit
-                                                                               : Span::max();
+                                                                              : Span::max();
     if (limit != Span::max() && now_ - one.since >= limit) on(slot, LifeEvent::limit);
   }
   if (will_ == Will::resting && now_ >= rest_until_) on(WillEvent::rested);
@@ -510,7 +563,8 @@
     case LifeDo::impossible:
       impossible_ += 1;
       act(Act::What::note, slot, one.version,
-          std::string("IMPOSSIBLE: event ") + std::to_string(place(event)) + " of a process in state " + name_of(one.life));
+          std::string("IMPOSSIBLE: event ") + std::to_string(place(event)) + " of a process in state " +
+              name_of(one.life));
       return;
     case LifeDo::announce:
       return on(SwapEvent::serves);
@@ -527,7 +581,8 @@
       return act(Act::What::term, slot);
     case LifeDo::kill:
       one.since = now_;
-      act(Act::What::note, slot, one.version, "ended by force: it did not come up, hung, or outstayed its stop");
+      act(Act::What::note, slot, one.version,
+          "ended by force: it did not come up, hung, or outstayed its stop");
       return act(Act::What::kill, slot);
     case LifeDo::gone:
       break;
@@ -653,7 +708,8 @@
     case SwapDo::impossible:
       impossible_ += 1;
       act(Act::What::note, lead_, kept_.in_force,
-          std::string("IMPOSSIBLE: event ") + std::to_string(place(event)) + " of a swap in state " + name_of(swap_));
+          std::string("IMPOSSIBLE: event ") + std::to_string(place(event)) + " of a swap in state " +
+              name_of(swap_));
       return;
     case SwapDo::go: {
       const bool reads = settings_suffice(target_);
--- a/src/keeper/minder.h
+++ b/src/keeper/minder.h
@@ -1,8 +1,8 @@
-// What a keeper decides, without I/O: when its gatherer is started, told to read again, stopped, ended by force
-// and started again after a crash; how a version is swapped for another and when it goes back; and what is known
-// of the process. Three machines, each a table of state and event: a process's life (two at most: the one that
-// serves, and the one that follows or leaves), a swap, and the will that something runs. It is told what happened
-// and what time it is; what it decides is pulled with next().
+// What a keeper decides, without I/O: when its gatherer is started, told to read again, stopped, ended by
+// force and started again after a crash; how a version is swapped for another and when it goes back; and what
+// is known of the process. Three machines, each a table of state and event: a process's life (two at most:
+// the one that serves, and the one that follows or leaves), a swap, and the will that something runs. It is
+// told what happened and what time it is; what it decides is pulled with next().
 #pragma once
 
 #include <array>
@@ -17,16 +17,16 @@
 namespace marbledyke::keeper {
 
 struct Policy {
-  Span start_limit{10'000'000};   // from a process's begin until it serves
-  Span read_limit{5'000'000};     // from SIGHUP until it says what it made of it
-  Span prove{3'000'000};          // sound for so long is proof
-  Span prove_limit{15'000'000};   // and it has to come within this
-  Span silent_after{3'000'000};   // windows come each second; without one for this it is hung
-  Span mute_after{10'000'000};    // takes multigets for so long and ends none
-  Span hung_limit{10'000'000};    // then it is ended by force
-  Span stop_limit{6'000'000};     // a planned stop takes 3.7 s at most
-  Span kill_limit{2'000'000};     // after SIGKILL; then it is said once more
-  Span first_wait{200'000};       // before the second start in a row; the first is at once
+  Span start_limit{10'000'000};  // from a process's begin until it serves
+  Span read_limit{5'000'000};    // from SIGHUP until it says what it made of it
+  Span prove{3'000'000};         // sound for so long is proof
+  Span prove_limit{15'000'000};  // and it has to come within this
+  Span silent_after{3'000'000};  // windows come each second; without one for this it is hung
+  Span mute_after{10'000'000};   // takes multigets for so long and ends none
+  Span hung_limit{10'000'000};   // then it is ended by force
+  Span stop_limit{6'000'000};    // a planned stop takes 3.7 s at most
+  Span kill_limit{2'000'000};    // after SIGKILL; then it is said once more
+  Span first_wait{200'000};      // before the second start in a row; the first is at once
   Span longest_wait{30'000'000};
   double most_strikes = 8;        // then it gives up
   Span strike_fades{60'000'000};  // a process that lives for this makes up for one end
@@ -35,7 +35,8 @@
 
 inline constexpr int kSlots = 2;
 
-// `felled`: ended by force because it hung or did not come up; `killed`: because it outstayed an ordered stop.
+// `felled`: ended by force because it hung or did not come up; `killed`: because it outstayed an ordered
+// stop.
 enum class Life { none, starting, serving, hung, stopping, killed, felled };
 enum class LifeEvent { begun, serves, silent, speaks, told_stop, limit, ended };
 enum class Swap { none, reading, beside, proving, trial, back_reading, back_beside, back_proving };
@@ -58,8 +59,8 @@
 const char* name_of(Swap swap);
 const char* name_of(Will will);
 
-// What is known of the process that serves. Three things apart: that it runs, that it answers its health call,
-// and that it really ends multigets.
+// What is known of the process that serves. Three things apart: that it runs, that it answers its health
+// call, and that it really ends multigets.
 struct Health {
   bool runs = false, healthy = false;
   enum class Answers { unknown, yes, no } answers = Answers::unknown;  // unknown: nothing was asked of it
@@ -74,7 +75,7 @@
     hup,
     term,
     kill,
-    note    // for the log: `why`
+    note  // for the log: `why`
   };
   What what = What::note;
   int slot = 0;
@@ -126,7 +127,9 @@
   void kept_written(bool written);
   void tick(Span now, Span wall);
   void leave();  // the keeper itself goes down in order, and its gatherers with it
-  bool left() const { return will_ == Will::leaving && lives_[0].life == Life::none && lives_[1].life == Life::none; }
+  bool left() const {
+    return will_ == Will::leaving && lives_[0].life == Life::none && lives_[1].life == Life::none;
+  }
 
   std::optional<Act> next();
 
@@ -137,7 +140,9 @@
   const std::string& version(int slot) const { return lives_[static_cast<std::size_t>(slot)].version; }
   Swap swap() const { return swap_; }
   Will will() const { return will_; }
-  std::optional<Span> starts_again() const { return will_ == Will::resting ? std::optional(rest_until_) : std::nullopt; }
+  std::optional<Span> starts_again() const {
+    return will_ == Will::resting ? std::optional(rest_until_) : std::nullopt;
+  }
   Health health_of(int slot) const;
   // A mistake of this program: an event came that cannot come in that state.
   std::uint64_t impossible() const { return impossible_; }
--- a/src/keeper/orders.cpp
+++ b/src/keeper/orders.cpp
@@ -15,11 +15,11 @@
 using nlohmann::json;
 
 constexpr std::array<const char*, kKinds> kKindNames{"use", "run", "stop", "confirm", "take", "drop", "try"};
-constexpr std::array<const char*, kOutcomes> kOutcomeNames{"none",    "under_way", "on_trial", "returning",
-                                                           "done",    "refused",   "back",     "held"};
+constexpr std::array<const char*, kOutcomes> kOutcomeNames{"none", "under_way", "on_trial", "returning",
+                                                           "done", "refused",   "back",     "held"};
 constexpr std::array<const char*, kVerdicts> kVerdictNames{
-    "taken", "old_epoch", "late",            "repeated",           "contradicts",
-    "other", "busy",      "unknown_version", "nothing_to_confirm", "not_kept"};
+    "taken",           "old_epoch",          "late",    "repeated", "contradicts", "other", "busy",
+    "unknown_version", "nothing_to_confirm", "not_kept"};
 constexpr int kFormat = 1;
 constexpr std::int64_t kLongestTrialMs = 7 * 24 * 3600 * 1000LL;
 
@@ -65,8 +65,8 @@
   while (place < kKinds && kind != kKindNames[static_cast<std::size_t>(place)]) ++place;
   if (place == kKinds) throw BadInput("order: not use, run, stop, confirm, take, drop or try: " + kind);
   out.kind = static_cast<Kind>(place);
-  const bool names = out.kind == Kind::use || out.kind == Kind::take || out.kind == Kind::drop ||
-                     out.kind == Kind::try_out;
+  const bool names =
+      out.kind == Kind::use || out.kind == Kind::take || out.kind == Kind::drop || out.kind == Kind::try_out;
   if (names) {
     out.version = config::text(from, "version");
     if (!is_version_name(out.version)) throw BadInput("version: not a version's name: " + out.version);
@@ -95,11 +95,11 @@
 }
 
 std::string put(const Kept& kept) {
-  json body = {{"wanted", kept.wanted},     {"in_force", kept.in_force},
-               {"former", kept.former},     {"outcome", name_of(kept.outcome)},
-               {"why", kept.why},           {"since_ms", kept.since_ms},
-               {"starts", kept.starts},     {"ends", kept.ends},
-               {"strikes", kept.strikes},   {"gave_up", kept.gave_up}};
+  json body = {{"wanted", kept.wanted},   {"in_force", kept.in_force},
+               {"former", kept.former},   {"outcome", name_of(kept.outcome)},
+               {"why", kept.why},         {"since_ms", kept.since_ms},
+               {"starts", kept.starts},   {"ends", kept.ends},
+               {"strikes", kept.strikes}, {"gave_up", kept.gave_up}};
   if (kept.order) body["order"] = put(*kept.order);
   const std::string text = body.dump();
   return json{{"format", kFormat}, {"checksum", checksum(text)}}.dump() + "\n" + text + "\n";
@@ -149,13 +149,13 @@
     return kept.outcome == Outcome::on_trial ? Verdict::taken : Verdict::nothing_to_confirm;
   // A stop is never too early; all else waits for the end of what is under way, and what is on trial may only
   // be confirmed or replaced.
-  if (order.kind != Kind::stop &&
-      (kept.outcome == Outcome::under_way || kept.outcome == Outcome::returning))
+  if (order.kind != Kind::stop && (kept.outcome == Outcome::under_way || kept.outcome == Outcome::returning))
     return Verdict::busy;
   if (order.kind != Kind::stop && order.kind != Kind::use && kept.outcome == Outcome::on_trial)
     return Verdict::busy;
   if (order.kind == Kind::use && !has_version) return Verdict::unknown_version;
-  if ((order.kind == Kind::drop || order.kind == Kind::try_out) && !has_version) return Verdict::unknown_version;
+  if ((order.kind == Kind::drop || order.kind == Kind::try_out) && !has_version)
+    return Verdict::unknown_version;
   if (order.kind == Kind::drop && (order.version == kept.in_force || order.version == kept.former))
     return Verdict::busy;
   if (order.kind == Kind::run && kept.in_force.empty()) return Verdict::unknown_version;
--- a/src/keeper/orders.h
+++ b/src/keeper/orders.h
@@ -1,5 +1,5 @@
-// Orders to a keeper, and which of them count. Whoever gives orders holds an epoch, and numbers them within it;
-// an older epoch, a repeated, a late or a contradicting order does nothing and is told so. Without I/O.
+// Orders to a keeper, and which of them count. Whoever gives orders holds an epoch, and numbers them within
+// it; an older epoch, a repeated, a late or a contradicting order does nothing and is told so. Without I/O.
 #pragma once
 
 #include <cstdint>
@@ -18,10 +18,10 @@
 struct Order {
   std::uint64_t epoch = 0, number = 0;
   Kind kind = Kind::run;
-  std::string version;                    // of use, take, drop and try
-  std::string from;                       // take: the folder it is copied from
+  std::string version;                     // of use, take, drop and try
+  std::string from;                        // take: the folder it is copied from
   std::optional<std::string> if_in_force;  // refused where another version is in force
-  std::int64_t not_after_ms = 0;          // wall clock; 0: whenever it comes
+  std::int64_t not_after_ms = 0;           // wall clock; 0: whenever it comes
   Span trial{};  // use: taken back unless confirmed within this; zero: sound is enough
 
   bool operator==(const Order&) const = default;
@@ -55,8 +55,8 @@
   std::string former;          // the one before, which it goes back to
   std::optional<Order> order;  // the last taken
   Outcome outcome = Outcome::none;
-  std::string why;  // of an outcome that is not as ordered
-  std::int64_t since_ms = 0;  // of the outcome, wall clock
+  std::string why;                     // of an outcome that is not as ordered
+  std::int64_t since_ms = 0;           // of the outcome, wall clock
   std::uint64_t starts = 0, ends = 0;  // of gatherers; ends that nobody ordered
   double strikes = 0;                  // ends that count against it still
   bool gave_up = false;
@@ -71,15 +71,15 @@
 
 enum class Verdict {
   taken,
-  old_epoch,   // somebody else has been in charge since
-  late,        // a later order was taken, or its time is over
-  repeated,    // this very order was taken; the outcome says what became of it
-  contradicts, // another order of the same epoch and number was taken
-  other,       // another version is in force than it expects
-  busy,        // the last order is under way still
+  old_epoch,    // somebody else has been in charge since
+  late,         // a later order was taken, or its time is over
+  repeated,     // this very order was taken; the outcome says what became of it
+  contradicts,  // another order of the same epoch and number was taken
+  other,        // another version is in force than it expects
+  busy,         // the last order is under way still
   unknown_version,
   nothing_to_confirm,
-  not_kept     // it could not be written down, so it is not taken
+  not_kept  // it could not be written down, so it is not taken
 };
 inline constexpr int kVerdicts = 10;
 const char* name_of(Verdict verdict);
--- a/src/keeper/private.h
+++ b/src/keeper/private.h
@@ -7,8 +7,8 @@
 
 namespace marbledyke::keeper {
 
-// Why nobody may be let in there: wildcard and public addresses. Empty: loopback, a private address (RFC 1918,
-// RFC 4193, link-local) or a Unix socket.
+// Why nobody may be let in there: wildcard and public addresses. Empty: loopback, a private address (RFC
+// 1918, RFC 4193, link-local) or a Unix socket.
 std::string not_private(const net::Address& address);
 
 }  // namespace marbledyke::keeper
--- a/src/keeper/program.cpp
+++ b/src/keeper/program.cpp
@@ -42,7 +42,8 @@
   Options options;
   std::string control, log_form = "plain";
   app.add_option("--folder", options.folder, "Its folder; one keeper each")->required();
-  app.add_option("--control", control, "Where it takes orders: loopback, a private address, unix:/PATH")->required();
+  app.add_option("--control", control, "Where it takes orders: loopback, a private address, unix:/PATH")
+      ->required();
   app.add_option("--name", options.name, "Its name in the fleet")->required();
   app.add_option("--log", log_form, "plain or json")->check(CLI::IsMember({"plain", "json"}));
   std::vector<std::string> control_nodes;
@@ -63,7 +64,8 @@
   duration(app, "--first-wait", p.first_wait, "Before the second start in a row; doubles with each");
   duration(app, "--longest-wait", p.longest_wait, "and is this at most");
   duration(app, "--strike-fades", p.strike_fades, "A life of this makes up for one end");
-  app.add_option("--most-strikes", p.most_strikes, "Ends that count until it gives up")->check(CLI::Range(2.0, 1000.0));
+  app.add_option("--most-strikes", p.most_strikes, "Ends that count until it gives up")
+      ->check(CLI::Range(2.0, 1000.0));
   CLI11_PARSE(app, count, words);
 
   sigset_t heeded;
--- a/src/keeper/tryout.h
+++ b/src/keeper/tryout.h
@@ -1,7 +1,7 @@
-// What can be tried of a version before it is brought in force, beside the gatherer that serves: its files are as they
-// were taken, there is room, its program takes its settings, and the one in force, which is the way back, still takes
-// its own. Programs are run with `check`, which reads all that a start reads, one after the other and each for a bounded
-// time; the turn goes on meanwhile.
+// What can be tried of a version before it is brought in force, beside the gatherer that serves: its files
+// are as they were taken, there is room, its program takes its settings, and the one in force, which is the
+// way back, still takes its own. Programs are run with `check`, which reads all that a start reads, one after
+// the other and each for a bounded time; the turn goes on meanwhile.
 #pragma once
 
 #include <sys/types.h>
@@ -22,7 +22,7 @@
     std::string what;  // what it means where it fails
     std::string program;
     std::vector<std::string> files;  // its settings
-    bool must = true;  // else it is only said
+    bool must = true;                // else it is only said
   };
   struct Result {
     std::string wrong;  // empty: what must be is
--- a/src/keeper/versions.h
+++ b/src/keeper/versions.h
@@ -1,7 +1,7 @@
 // The versions of program and settings that a keeper holds: FOLDER/versions/ID/ with the files `marbledyke`,
 // `config.json`, perhaps `operator.xml` and `marbledyke-operator`, and `manifest.json` with their checksums
-// (XXH3-128, by its library). A version is there whole or not at all: it is copied under another name, synced,
-// read back and renamed. FOLDER/current is a link to the one in force.
+// (XXH3-128, by its library). A version is there whole or not at all: it is copied under another name,
+// synced, read back and renamed. FOLDER/current is a link to the one in force.
 #pragma once
 
 #include <map>
@@ -30,9 +30,9 @@
   // Empty facts for what is not there.
   VersionFacts facts(const std::string& id) const;
   const std::map<std::string, VersionFacts>& all() const { return facts_; }
-  std::string path(const std::string& id) const;     // of its folder
-  std::string current() const;                       // the link
-  void link(const std::string& id);                  // throws disk::DiskError
+  std::string path(const std::string& id) const;  // of its folder
+  std::string current() const;                    // the link
+  void link(const std::string& id);               // throws disk::DiskError
   std::optional<std::string> linked() const;
   // Reads every file of it again; empty: as it was taken, else what is wrong.
   std::string verify(const std::string& id) const;
--- a/src/lab/experiments.cpp
+++ b/src/lab/experiments.cpp
@@ -182,9 +182,12 @@
       {"imbalance", "Largest over mean number of parts a server", "gatherers", "imbalance", "policy", {}});
 }
 
-// A share of all gatherers dies within 100 ms under the shipped keepers' decisions, or all are swapped in turn.
+// A share of all gatherers dies within 100 ms under the shipped keepers' decisions, or all are swapped in
+// turn.
 void returns(Experiment& e, std::uint32_t seed) {
-  e.question = "What does a fleet lose when many of its gatherers die at once under their keepers, and does that grow with it?";
+  e.question =
+      "What does a fleet lose when many of its gatherers die at once under their keepers, and does that grow "
+      "with it?";
   e.factors = {"gatherers", "what", "seed"};
   for (const int count : {8, 48, 300, 1000}) {
     for (const char* const what : {"nothing", "half", "most", "all", "most-keepers-late", "swaps"}) {
@@ -348,12 +351,18 @@
 
 using Maker = void (*)(Experiment&, std::uint32_t);
 const std::vector<std::pair<std::string, Maker>>& makers() {
-  static const std::vector<std::pair<std::string, Maker>> kMakers{
-      {"policies", policies},   {"overload", overload}, {"recovery", recovery},
-      {"gatherers", gatherers}, {"size", size},         {"loss", loss},
-      {"jams", jams},           {"fleets", fleets},     {"returns", returns},
-      {"target-load", target_load}, {"target-load-idle", target_load_idle},
-      {"small", small}};
+  static const std::vector<std::pair<std::string, Maker>> kMakers{{"policies", policies},
+                                                                  {"overload", overload},
+                                                                  {"recovery", recovery},
+                                                                  {"gatherers", gatherers},
+                                                                  {"size", size},
+                                                                  {"loss", loss},
+                                                                  {"jams", jams},
+                                                                  {"fleets", fleets},
+                                                                  {"returns", returns},
+                                                                  {"target-load", target_load},
+                                                                  {"target-load-idle", target_load_idle},
+                                                                  {"small", small}};
   return kMakers;
 }
 
@@ -548,17 +557,20 @@
     if (kind == FaultKind::partition) fault.zone = 1;
     add(scenario::name_of(kind), {fault});
   }
-  // Gatherers under keepers, one of two struck; a keeper's faults come with the end of its gatherer, since without
-  // one nobody would see them.
+  // Gatherers under keepers, one of two struck; a keeper's faults come with the end of its gatherer, since
+  // without one nobody would see them.
   const auto kept = [&](FaultKind kind, double strength, Span until = 8s) {
-    const bool of_keeper = kind == FaultKind::kill_keeper || kind == FaultKind::pause_keeper || kind == FaultKind::keeper_clock;
+    const bool of_keeper =
+        kind == FaultKind::kill_keeper || kind == FaultKind::pause_keeper || kind == FaultKind::keeper_clock;
     std::vector<Fault> faults{fault_of(kind, 4s, until, 0.5, strength)};
     faults.front().first = 0;
     if (of_keeper) {
       faults.push_back(fault_of(FaultKind::kill_gatherer, 5s, 6s, 0.5, 1));
       faults.back().first = 0;
     }
-    add(std::string(scenario::name_of(kind)) + (kind == FaultKind::kill_gatherer ? ", kept" : of_keeper ? " and its gatherer" : ""),
+    add(std::string(scenario::name_of(kind)) + (kind == FaultKind::kill_gatherer ? ", kept"
+                                                : of_keeper                      ? " and its gatherer"
+                                                                                 : ""),
         std::move(faults));
     out.back().second.gatherers.kept = true;
   };
--- a/src/lab/keepers.cpp
+++ b/src/lab/keepers.cpp
@@ -31,7 +31,8 @@
 double at(std::vector<double> values, double share) {
   if (values.empty()) return 0;
   std::sort(values.begin(), values.end());
-  return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+  return values[std::min(values.size() - 1,
+                         static_cast<std::size_t>(share * static_cast<double>(values.size())))];
 }
 
 standins::LoadOptions load_of(double rate, int seconds) {
@@ -57,7 +58,8 @@
   Site site(loop, site_of());
   Site::Machine& m = site.machine(0);
   site.start_keeper(m);
-  if (!site.keeper_up(m) || !site.bring(m, "v1", {})) throw std::runtime_error("the keeper did not bring v1 in force");
+  if (!site.keeper_up(m) || !site.bring(m, "v1", {}))
+    throw std::runtime_error("the keeper did not bring v1 in force");
   standins::Load clients(loop, m.listen, load_of(100, options.kills + 5));
   for (int i = 0; i < options.kills && !stop; ++i) {
     rig::run_for(loop, 800ms);
@@ -87,7 +89,8 @@
   Site site(loop, site_of());
   Site::Machine& m = site.machine(0);
   site.start_keeper(m);
-  if (!site.keeper_up(m) || !site.bring(m, "v0", {})) throw std::runtime_error("the keeper did not bring v0 in force");
+  if (!site.keeper_up(m) || !site.bring(m, "v0", {}))
+    throw std::runtime_error("the keeper did not bring v0 in force");
   Site::Recipe other;
   other.mark = "another build";
   site.order(m, "take", "v1", {{"from", site.recipe(m, "v1", other)}});
@@ -154,7 +157,8 @@
 
 }  // namespace
 
-int measure_keepers(const KeeperMeasures& options, const std::string& directory, const std::atomic<bool>& stop) {
+int measure_keepers(const KeeperMeasures& options, const std::string& directory,
+                    const std::atomic<bool>& stop) {
   if (fs::exists(directory)) {
     std::cerr << "marbledyke-lab: " << directory << " is there already\n";
     return 1;
@@ -185,9 +189,12 @@
   for (const double one : times) returned += std::to_string(one) + '\n';
   write(part / "returns.csv", returned);
   write(part / "report.md",
-        "# Keepers, measured\n\nReal processes and our stand-ins on loopback, all on one machine. `return`: a gatherer under 100 "
-        "multigets a second is ended by SIGKILL; time until its address answers a health call again. `swap`: another program is "
-        "brought in force each 5 s under load. `pair`: one installation of four gatherers and twelve servers, a fifth of which "
+        "# Keepers, measured\n\nReal processes and our stand-ins on loopback, all on one machine. `return`: "
+        "a gatherer under 100 "
+        "multigets a second is ended by SIGKILL; time until its address answers a health call again. `swap`: "
+        "another program is "
+        "brought in force each 5 s under load. `pair`: one installation of four gatherers and twelve "
+        "servers, a fifth of which "
         "crash for 3 s, without keepers and with them.\n\n" +
             table + "\n![times of return](returns.svg)\n");
   write(part / "returns.gp",
--- a/src/lab/kept.cpp
+++ b/src/lab/kept.cpp
@@ -17,7 +17,8 @@
 using nlohmann::json;
 namespace fs = std::filesystem;
 
-Kept::Kept(net::Loop& loop, const std::string& name, const net::Address& control, const json& configuration, KeptProgram its_program)
+Kept::Kept(net::Loop& loop, const std::string& name, const net::Address& control, const json& configuration,
+           KeptProgram its_program)
     : loop_(loop), name_(name), program_(std::move(its_program)), control_(control) {
   std::string made = (fs::temp_directory_path() / "marbledyke-kept-XXXXXX").string();
   if (mkdtemp(made.data()) == nullptr) throw std::system_error(errno, std::generic_category(), made);
@@ -61,9 +62,27 @@
 
 void Kept::start_keeper() {
   if (keeper_.pid() > 0 && !keeper_.ended()) return;
-  std::vector<std::string> words{rig::program(program_.name), "--folder", folder_ + "/k", "--control", control_.text(),
-                 "--name", name_, "--prove", "0.3", "--prove-limit", "5", "--start-limit", "5", "--first-wait",
-                 "0.05", "--longest-wait", "1", "--most-strikes", "30", "--silent-after", "6"};
+  std::vector<std::string> words{rig::program(program_.name),
+                                 "--folder",
+                                 folder_ + "/k",
+                                 "--control",
+                                 control_.text(),
+                                 "--name",
+                                 name_,
+                                 "--prove",
+                                 "0.3",
+                                 "--prove-limit",
+                                 "5",
+                                 "--start-limit",
+                                 "5",
+                                 "--first-wait",
+                                 "0.05",
+                                 "--longest-wait",
+                                 "1",
+                                 "--most-strikes",
+                                 "30",
+                                 "--silent-after",
+                                 "6"};
   words.insert(words.end(), program_.words.begin(), program_.words.end());
   keeper_.start(words, {{"MARBLEDYKE_BENT", folder_ + "/bends"}}, folder_ + "/log");
 }
@@ -78,20 +97,22 @@
 void Kept::swap() {
   second_ = !second_;
   const std::string body =
-      json{{"epoch", 1}, {"number", ++number_}, {"order", "use"}, {"version", second_ ? "two" : "one"}}.dump();
+      json{{"epoch", 1}, {"number", ++number_}, {"order", "use"}, {"version", second_ ? "two" : "one"}}
+          .dump();
   net::Descriptor fd = net::start_connect(control_);
   if (!fd) return;
   const std::string bytes = "POST /order HTTP/1.1\r\nHost: lab\r\nConnection: close\r\nContent-Length: " +
                             std::to_string(body.size()) + "\r\n\r\n" + body;
   calls_.push_back(nullptr);
   const std::size_t at = calls_.size() - 1;
-  calls_[at] = std::make_unique<net::Stream>(
-      loop_, std::move(fd), false, 64 * 1024, bytes.size() + 1,
-      net::Stream::Told{[this, at, bytes] {
-                          calls_[at]->out().put(bytes);
-                          calls_[at]->flush();
-                        },
-                        [this, at] { calls_[at]->in().clear(); }, nullptr, [this, at](bool) { calls_[at]->close(); }});
+  calls_[at] =
+      std::make_unique<net::Stream>(loop_, std::move(fd), false, 64 * 1024, bytes.size() + 1,
+                                    net::Stream::Told{[this, at, bytes] {
+                                                        calls_[at]->out().put(bytes);
+                                                        calls_[at]->flush();
+                                                      },
+                                                      [this, at] { calls_[at]->in().clear(); }, nullptr,
+                                                      [this, at](bool) { calls_[at]->close(); }});
 }
 
 void Kept::kill_keeper() {
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -141,7 +141,8 @@
   hunt->add_option("--until", until)->required();
   hunt->add_flag("--kept", kept, "Draw gatherers under keepers; faults of them and of the paths between");
   bool hunt_on_sockets = false;
-  hunt->add_flag("--sockets", hunt_on_sockets, "Play in real time, with processes; a breach is kept as its scenario and seed");
+  hunt->add_flag("--sockets", hunt_on_sockets,
+                 "Play in real time, with processes; a breach is kept as its scenario and seed");
   hunt->add_option("--policy", policy)->check(CLI::IsMember(emulator::policy_names()));
   CLI::App* const twins_of =
       app.add_subcommand("twins", "Play one installation under each fault, emulated and on sockets");
@@ -153,11 +154,12 @@
   keepers->add_option("--out", directory, "A folder that is not there yet")->required();
   keepers->add_option("--kills", measures.kills)->check(CLI::Range(1, 10'000));
   keepers->add_option("--swaps", measures.swaps)->check(CLI::Range(1, 10'000));
-  keepers->add_option("--rate", measures.rate, "Multigets a second during swaps")->check(CLI::Range(1, 100'000));
+  keepers->add_option("--rate", measures.rate, "Multigets a second during swaps")
+      ->check(CLI::Range(1, 100'000));
   keepers->add_option("--pairs", measures.pairs)->check(CLI::Range(1, 100));
   int rollout_runs = 500, large_runs = 100;
-  CLI::App* const rollouts =
-      app.add_subcommand("rollouts", "Emulate rolling changes: false stops, and how soon a bad version is found");
+  CLI::App* const rollouts = app.add_subcommand(
+      "rollouts", "Emulate rolling changes: false stops, and how soon a bad version is found");
   rollouts->add_option("--out", directory, "A folder that is not there yet")->required();
   rollouts->add_option("--runs", rollout_runs, "of each at 300 gatherers")->check(CLI::Range(1, 100'000));
   rollouts->add_option("--large-runs", large_runs, "of each at 1,000")->check(CLI::Range(1, 100'000));
@@ -244,17 +246,17 @@
       };
       const emulator::Result r = played(s);
       if (hunt_on_sockets)
-        std::cout << s.name << ": goodput " << r.goodput << ", asked " << r.asked << (r.breaches.empty() ? ", rules kept" : "")
-                  << std::endl;
+        std::cout << s.name << ": goodput " << r.goodput << ", asked " << r.asked
+                  << (r.breaches.empty() ? ", rules kept" : "") << std::endl;
       if (stopped) break;
       if (r.breaches.empty()) continue;
       std::cout << "seed " << each << ": rule " << r.breaches.front().rule << ", " << r.breaches.front().what
                 << std::endl;
       if (std::exchange(cut, true)) continue;
       const int rule = r.breaches.front().rule;
-      const scenario::Scenario least =
-          scenario::shrink(s, [&](const scenario::Scenario& other) { return played(other).breach_counts[rule] > 0; },
-                           hunt_on_sockets ? kMostPlaysOnSockets : 400);
+      const scenario::Scenario least = scenario::shrink(
+          s, [&](const scenario::Scenario& other) { return played(other).breach_counts[rule] > 0; },
+          hunt_on_sockets ? kMostPlaysOnSockets : 400);
       std::cout << scenario::write_xml(least);
       print(hunt_on_sockets ? r : emulator::play(least, options), std::cout);
     }
--- a/src/lab/rollouts.cpp
+++ b/src/lab/rollouts.cpp
@@ -67,10 +67,14 @@
     std::cerr << "marbledyke-lab: " << directory << " is there already\n";
     return 1;
   }
-  std::string csv = "cell,runs,done,stopped,first_stage,second_stage,later_stage,seconds,lost_share_of_asked,lost_by_clock_share\n";
+  std::string csv =
+      "cell,runs,done,stopped,first_stage,second_stage,later_stage,seconds,lost_share_of_asked,lost_by_clock_"
+      "share\n";
   std::string table =
-      "| fleet and change | runs | went through | stopped | in the first stage | second | later | mean time, s | multigets lost, "
-      "of all asked | of what stages by the clock alone lose |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+      "| fleet and change | runs | went through | stopped | in the first stage | second | later | mean time, "
+      "s | multigets lost, "
+      "of all asked | of what stages by the clock alone lose |\n| --- | --- | --- | --- | --- | --- | --- | "
+      "--- | --- | --- |\n";
   for (const Cell& cell : cells(runs, large_runs)) {
     std::vector<emulator::RolloutResult> results(static_cast<std::size_t>(cell.runs));
     std::atomic<int> next{0};
@@ -79,7 +83,8 @@
     for (int j = 0; j < jobs; ++j) {
       workers.emplace_back([&] {
         for (int i = next++; i < cell.runs; i = next++)
-          results[static_cast<std::size_t>(i)] = emulator::roll(cell.fleet, cell.flaw, plan, static_cast<std::uint32_t>(i + 1));
+          results[static_cast<std::size_t>(i)] =
+              emulator::roll(cell.fleet, cell.flaw, plan, static_cast<std::uint32_t>(i + 1));
       });
     }
     for (std::thread& worker : workers) worker.join();
@@ -98,11 +103,13 @@
     }
     const int stopped = cell.runs - done;
     char line[400];
-    std::snprintf(line, sizeof line, "%s,%d,%d,%d,%d,%d,%d,%.0f,%.6f,%.4f\n", ('"' + cell.name + '"').c_str(), cell.runs, done, stopped,
-                  stages[0], stages[1], stages[2], time, lost / std::max(asked, 1.0), clock > 0 ? lost / clock : 0);
+    std::snprintf(line, sizeof line, "%s,%d,%d,%d,%d,%d,%d,%.0f,%.6f,%.4f\n", ('"' + cell.name + '"').c_str(),
+                  cell.runs, done, stopped, stages[0], stages[1], stages[2], time,
+                  lost / std::max(asked, 1.0), clock > 0 ? lost / clock : 0);
     csv += line;
-    std::snprintf(line, sizeof line, "| %s | %d | %d | %d | %d | %d | %d | %.0f | %.4f%% | %s |\n", cell.name.c_str(), cell.runs, done,
-                  stopped, stages[0], stages[1], stages[2], time, 100 * lost / std::max(asked, 1.0),
+    std::snprintf(line, sizeof line, "| %s | %d | %d | %d | %d | %d | %d | %.0f | %.4f%% | %s |\n",
+                  cell.name.c_str(), cell.runs, done, stopped, stages[0], stages[1], stages[2], time,
+                  100 * lost / std::max(asked, 1.0),
                   clock > 0 ? (std::to_string(100 * lost / clock).substr(0, 5) + "%").c_str() : "-");
     table += line;
     std::cout << line << std::flush;
@@ -110,12 +117,15 @@
   const fs::path part = directory + ".part";
   fs::create_directories(part);
   std::ofstream(part / "results.csv") << csv;
-  std::ofstream(part / "report.md")
-      << "# Rolling changes, emulated\n\nThe shipped judge and conductor over a modelled fleet (src/emulator/rollouts): three op types "
-         "(70%, 25%, 5%), three zones, 8 multigets a second at each gatherer, 1% not answered in time by itself, gatherers that "
-         "differ, clusters of failures, and where said two troubles of 40 s that strike all. Stages: 2%, 10%, half, all; 120 s each "
-         "to show themselves. By the clock alone: the same stages without a judge, and 10 minutes until somebody sees it.\n\n"
-      << table;
+  std::ofstream(part / "report.md") << "# Rolling changes, emulated\n\nThe shipped judge and conductor over "
+                                       "a modelled fleet (src/emulator/rollouts): three op types "
+                                       "(70%, 25%, 5%), three zones, 8 multigets a second at each gatherer, "
+                                       "1% not answered in time by itself, gatherers that "
+                                       "differ, clusters of failures, and where said two troubles of 40 s "
+                                       "that strike all. Stages: 2%, 10%, half, all; 120 s each "
+                                       "to show themselves. By the clock alone: the same stages without a "
+                                       "judge, and 10 minutes until somebody sees it.\n\n"
+                                    << table;
   fs::rename(part, directory);
   return 0;
 }
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -85,8 +85,9 @@
       discovery_.set(listed);
     }
     const std::string file = child_.put("operator.xml", search_file(sru_at_.text(), z3950_at_.text()));
-    child_.start(configuration("lab", gatherer_at_, discovery_at_, discovery_.body(-1), plain_settings(kShards)),
-                 {"--operator", file}, "marbledyke-search");
+    child_.start(
+        configuration("lab", gatherer_at_, discovery_at_, discovery_.body(-1), plain_settings(kShards)),
+        {"--operator", file}, "marbledyke-search");
   }
 
   Installation(const Installation&) = delete;
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -16,12 +16,12 @@
 #include "checker/checker.h"
 #include "emulator/clients.h"
 #include "lab/kept.h"
-#include "standins/discovery.h"
-#include "standins/machine.h"
-#include "standins/process.h"
 #include "model/measure.h"
 #include "net/http.h"
 #include "rig/relay.h"
+#include "standins/discovery.h"
+#include "standins/machine.h"
+#include "standins/process.h"
 
 namespace marbledyke::lab {
 namespace {
@@ -66,7 +66,8 @@
           // What a slow path holds comes in so much later than it was sent.
           double slowest = 0;
           for (const Fault& fault : scenario.faults) {
-            if (fault.kind == FaultKind::path_slow) slowest += 3 * fault.strength / 1000;  // there and back, and the opening of a connection
+            if (fault.kind == FaultKind::path_slow)
+              slowest += 3 * fault.strength / 1000;  // there and back, and the opening of a connection
           }
           rules.crossing = kCrossing + span_of(slowest);
           return rules;
@@ -252,7 +253,8 @@
     const auto at = sends_of_.find({id, server});
     event.send = at == sends_of_.end() ? 0 : at->second;
     event.fate = fate;
-    // What was said on a path that loses or resets may never have come through; nor what is on its way as that begins.
+    // What was said on a path that loses or resets may never have come through; nor what is on its way as
+    // that begins.
     const Front& front = *fronts_[static_cast<std::size_t>(door)];
     event.heard = front.path_lost == 0 && front.path_reset <= 0 && !path_breaks_soon();
     note(event);
@@ -298,7 +300,8 @@
       net::Address at = machines_[static_cast<std::size_t>(i)]->leaf().address(number);
       if (paths) {
         front->paths.emplace_back();
-        at = by_relay(front->paths.back(), 12'000 + n * kMostStageServers + static_cast<std::uint32_t>(i), at);
+        at =
+            by_relay(front->paths.back(), 12'000 + n * kMostStageServers + static_cast<std::uint32_t>(i), at);
       }
       listed.address = at.text();
       listed.zone = "z" + std::to_string(zone_of(i));
@@ -319,7 +322,8 @@
       if (begun_ > Span::zero()) note(event);
     };
     front->list_at = front->discovery_at;
-    if (any_fault({FaultKind::list_cut})) front->list_at = by_relay(front->list_path, 11'000 + n, front->discovery_at);
+    if (any_fault({FaultKind::list_cut}))
+      front->list_at = by_relay(front->list_path, 11'000 + n, front->discovery_at);
     if (s_.gatherers.kept) {
       front->kept = std::make_unique<Kept>(loop_, "g" + std::to_string(number),
                                            free_address(net::Family::ip4, 11'500 + n), told(*front, number));
@@ -442,7 +446,8 @@
       default:
         break;
     }
-    if (scenario::of_gatherers(fault.kind)) return strike_path(fault, *fronts_[static_cast<std::size_t>(number)], number, begins);
+    if (scenario::of_gatherers(fault.kind))
+      return strike_path(fault, *fronts_[static_cast<std::size_t>(number)], number, begins);
     Machine& machine = *machines_[static_cast<std::size_t>(number)];
     disturbed_.insert(number);
     switch (fault.kind) {
@@ -580,7 +585,8 @@
         front.path_lost += step;
         set_paths(front);
         if (!begins && front.path_lost == 0) {
-          for (const auto& path : front.paths) path->cut();  // what was lost in between does not come any more
+          for (const auto& path : front.paths)
+            path->cut();  // what was lost in between does not come any more
         }
         return;
       case FaultKind::path_slow:
--- a/src/lab/stage.h
+++ b/src/lab/stage.h
@@ -17,11 +17,11 @@
 
 struct Staged {
   emulator::Result result;
-  double cpu = 0, kernel = 0;  // seconds that the gatherers used, and of these in the kernel
-  double keeper_cpu = 0;       // of that, by keepers
+  double cpu = 0, kernel = 0;    // seconds that the gatherers used, and of these in the kernel
+  double keeper_cpu = 0;         // of that, by keepers
   std::uint64_t keeper_rss = 0;  // the largest
-  double late = 0;             // the longest that this process itself was late for a turn, in seconds
-  std::string first_trouble;   // of a gatherer that ended by itself; empty: none
+  double late = 0;               // the longest that this process itself was late for a turn, in seconds
+  std::string first_trouble;     // of a gatherer that ended by itself; empty: none
 };
 
 // Why a scenario cannot be staged; empty: it can.
--- a/src/list/watch.cpp
+++ b/src/list/watch.cpp
@@ -31,8 +31,8 @@
   call(lines_[0], Span::zero());
 }
 
-// The calls that are out are given up with the old place: they may never be answered, or with what is old news by
-// then. The versions of one place say nothing at another, so the whole list is asked for.
+// The calls that are out are given up with the old place: they may never be answered, or with what is old
+// news by then. The versions of one place say nothing at another, so the whole list is asked for.
 void Watch::move(const net::Address& address, const std::string& host) {
   address_ = address;
   host_ = host;
@@ -72,8 +72,8 @@
   line.stream->flush();
 }
 
-// The wait is over and nothing was said: a second call is made beside it. That one's fate decides, unless the first
-// speaks after all.
+// The wait is over and nothing was said: a second call is made beside it. That one's fate decides, unless the
+// first speaks after all.
 void Watch::overdue(Line& line) {
   log::event(log::Level::info, "discovery.overdue", {{"waited_ms", (loop_.now() - line.began) / 1ms}});
   line.patience = loop_.at(line.began + line.wait + kAfterWait, [this, &line] {
@@ -97,11 +97,13 @@
   }
 }
 
-// An answer without a length ends with its connection, but a reset is no end: what came may be any part of it.
+// An answer without a length ends with its connection, but a reset is no end: what came may be any part of
+// it.
 void Watch::ended(Line& line, bool connected) {
   hold_spare();
   if (!line.calling) return;
-  if (line.stream->was_reset()) return failed(line, connected ? "the connection was reset" : "cannot connect");
+  if (line.stream->was_reset())
+    return failed(line, connected ? "the connection was reset" : "cannot connect");
   line.reader.peer_closed();
   if (line.reader.state() != net::HttpReader::State::done) return failed(line, "the connection broke");
   answered(line);
@@ -136,7 +138,8 @@
   const Span took = line.wait > Span::zero() ? Span::zero() : loop_.now() - line.began;
   for (Line& one : lines_) hang_up(one);
   watching_ = false;
-  log::event(log::Level::info, "discovery.failed", {{"why", why}, {"after_ms", (loop_.now() - line.began) / 1ms}});
+  log::event(log::Level::info, "discovery.failed",
+             {{"why", why}, {"after_ms", (loop_.now() - line.began) / 1ms}});
   told_.refused(most_backoff(took));
 }
 
--- a/src/list/watch.h
+++ b/src/list/watch.h
@@ -1,5 +1,5 @@
-// Keeps up with the list: one call to discovery at a time, each watch followed at once by the next. Beside a wait whose
-// answer is overdue a second call is made.
+// Keeps up with the list: one call to discovery at a time, each watch followed at once by the next. Beside a
+// wait whose answer is overdue a second call is made.
 #pragma once
 
 #include <array>
--- a/src/model/clock.h
+++ b/src/model/clock.h
@@ -1,5 +1,5 @@
-// The one interface that time is read through, so that a test or the lab can give one process a clock that steps
-// or runs at another rate. Source of the real one: std::chrono's steady and system clocks.
+// The one interface that time is read through, so that a test or the lab can give one process a clock that
+// steps or runs at another rate. Source of the real one: std::chrono's steady and system clocks.
 #pragma once
 
 #include <chrono>
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -99,9 +99,9 @@
   read_clock();
   turn_began_ = timers_.empty() ? now_ : std::clamp(timers_.begin()->first.first, waits_from, now_);
   tell(events);
-  // A process that was stopped comes back out of its wait with nothing, or with what was there before, while its clock
-  // has gone on. So what has come in by now is read before any timer speaks: an answer that waits to be read is not
-  // one that did not come.
+  // A process that was stopped comes back out of its wait with nothing, or with what was there before, while
+  // its clock has gone on. So what has come in by now is read before any timer speaks: an answer that waits
+  // to be read is not one that did not come.
   bool more = events.size() == room.size() || (!timers_.empty() && timers_.begin()->first.first <= now_);
   for (int round = 0; more && round < kMostRounds; ++round) {
     events = wait(room, 0);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -136,8 +136,8 @@
   read_on();
 }
 
-// With the ring full the end is behind bytes that nobody reads before the owner has done with those before them, which may
-// take as long as an answer: the peer has gone all the same.
+// With the ring full the end is behind bytes that nobody reads before the owner has done with those before
+// them, which may take as long as an answer: the peer has gone all the same.
 void Stream::hung_up() {
   if (connected_ && in_.full() && !closed()) end(true);
 }
--- a/src/points/points.h
+++ b/src/points/points.h
@@ -1,5 +1,5 @@
-// Named points of the code at which the lab can end or stop a process. In what is shipped, reach() does nothing:
-// the lab's programs are the same libraries linked with another version of it.
+// Named points of the code at which the lab can end or stop a process. In what is shipped, reach() does
+// nothing: the lab's programs are the same libraries linked with another version of it.
 #pragma once
 
 namespace marbledyke::points {
--- a/src/rig/bent.cpp
+++ b/src/rig/bent.cpp
@@ -131,7 +131,8 @@
   const double rate = bends().rate;
   if (rate == rate_) return;
   const Span machine = machine_.steady();
-  own_then_ += Span(static_cast<std::int64_t>(static_cast<double>((machine - machine_then_).count()) * rate_));
+  own_then_ +=
+      Span(static_cast<std::int64_t>(static_cast<double>((machine - machine_then_).count()) * rate_));
   machine_then_ = machine;
   rate_ = rate;
 }
--- a/src/rig/bent.h
+++ b/src/rig/bent.h
@@ -1,6 +1,7 @@
-// What the lab can do to one process from outside: bend its clock, spoil its disk, end or stop it at a named point
-// of its code. The faults are read from a file that the environment names (MARBLEDYKE_BENT), as JSON, and read
-// anew whenever it has changed, so they begin and end while the process runs. Only programs of the lab link this.
+// What the lab can do to one process from outside: bend its clock, spoil its disk, end or stop it at a named
+// point of its code. The faults are read from a file that the environment names (MARBLEDYKE_BENT), as JSON,
+// and read anew whenever it has changed, so they begin and end while the process runs. Only programs of the
+// lab link this.
 //
 //   {"clock": {"rate": 1.5, "step_ms": -3600000},
 //    "disk": {"full": true, "read_only": true, "slow_ms": 2000, "lies": true, "tears": 40},
@@ -18,12 +19,12 @@
 namespace marbledyke::rig {
 
 struct Bends {
-  double rate = 1;            // of the steady clock, from the moment on that it is read
-  std::int64_t step_ms = 0;   // what the wall clock is off
+  double rate = 1;           // of the steady clock, from the moment on that it is read
+  std::int64_t step_ms = 0;  // what the wall clock is off
   bool full = false, read_only = false;
-  bool lies = false;          // sync says it is done and does nothing: what was written is lost with the process
-  std::int64_t slow_ms = 0;   // each sync takes so much longer
-  std::int64_t tears = -1;    // only so many bytes of the next file get to the disk, and the process ends
+  bool lies = false;  // sync says it is done and does nothing: what was written is lost with the process
+  std::int64_t slow_ms = 0;  // each sync takes so much longer
+  std::int64_t tears = -1;   // only so many bytes of the next file get to the disk, and the process ends
   std::string point, what = "kill";
   int nth = 1;
 };
--- a/src/rig/flawed.cpp
+++ b/src/rig/flawed.cpp
@@ -16,8 +16,8 @@
 //   stops-telling:S  serves on, and tells nothing any more from so many seconds after its start
 //   drains-late:S  hears of the list so many seconds later
 //   hogs:RATE      asks itself so many multigets a second more
-//   deaf           says that it serves, answers its health call, tells empty windows, and answers nothing else
-//   mute           the same, and tells that it takes multigets and ends none
+//   deaf           says that it serves, answers its health call, tells empty windows, and answers nothing
+//   else mute           the same, and tells that it takes multigets and ends none
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/mman.h>
@@ -59,7 +59,8 @@
 
 std::string digest_of(const std::string& configuration) {
   char digest[17];
-  std::snprintf(digest, sizeof digest, "%016llx", static_cast<unsigned long long>(marbledyke::hash_text(configuration)));
+  std::snprintf(digest, sizeof digest, "%016llx",
+                static_cast<unsigned long long>(marbledyke::hash_text(configuration)));
   return digest;
 }
 
@@ -93,10 +94,12 @@
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                         std::chrono::system_clock::now().time_since_epoch())
                         .count();
-    json window = {{"start_ms", ms - ms % 1000}, {"op_types", json::object()}, {"in_hand", takes ? number * 10 : 0}};
+    json window = {
+        {"start_ms", ms - ms % 1000}, {"op_types", json::object()}, {"in_hand", takes ? number * 10 : 0}};
     if (takes) window["op_types"]["look"] = {{"taken", 10}, {"latency", json::array()}};
-    events << json{{"event", "window"}, {"number", number}, {"configuration", digest}, {"window", window}}.dump()
-           << std::endl;
+    events
+        << json{{"event", "window"}, {"number", number}, {"configuration", digest}, {"window", window}}.dump()
+        << std::endl;
   }
 }
 
@@ -129,7 +132,8 @@
 }
 
 marbledyke::net::Address beside(int number) {
-  return *marbledyke::net::parse_address("unix:@marbledyke-flawed-" + std::to_string(getpid()) + "-" + std::to_string(number));
+  return *marbledyke::net::parse_address("unix:@marbledyke-flawed-" + std::to_string(getpid()) + "-" +
+                                         std::to_string(number));
 }
 
 // A relay of its own before the list, or clients of its own, in a thread that ends with it.
@@ -154,13 +158,15 @@
 }  // namespace
 
 int main(int count, char** words) {
-  if (count > 2 && std::string(words[1]) == "check") return marbledyke::command::check({words + 2, words + count});
+  if (count > 2 && std::string(words[1]) == "check")
+    return marbledyke::command::check({words + 2, words + count});
   const std::string configuration = text_of(std::getenv("PROXY_CONFIG"));
   const json parsed = json::parse(configuration, nullptr, false);
   if (!parsed.is_object()) return marbledyke::command::serve({});  // says what is wrong with it
   const std::string flaw = parsed.is_object() ? parsed.value("flaw", "none") : "none";
   const std::string name = flaw.substr(0, flaw.find(':'));
-  const double figure = flaw.find(':') == std::string::npos ? 0 : std::atof(flaw.c_str() + flaw.find(':') + 1);
+  const double figure =
+      flaw.find(':') == std::string::npos ? 0 : std::atof(flaw.c_str() + flaw.find(':') + 1);
   const auto later = [figure](auto what) {
     std::thread([figure, what] {
       std::this_thread::sleep_for(std::chrono::duration<double>(figure));
--- a/src/rig/process.cpp
+++ b/src/rig/process.cpp
@@ -25,8 +25,8 @@
   status_ = status;
 }
 
-void Process::start(const std::vector<std::string>& words, const std::map<std::string, std::string>& environment,
-                    const std::string& log) {
+void Process::start(const std::vector<std::string>& words,
+                    const std::map<std::string, std::string>& environment, const std::string& log) {
   status_.reset();
   pid_ = standins::spawn(words, environment, log);
 }
@@ -70,22 +70,21 @@
   if (!fd) return out;
   bool over = false;
   std::unique_ptr<net::Stream> stream;
-  stream = std::make_unique<net::Stream>(
-      loop, std::move(fd), false, 64 * 1024, bytes.size() + 1,
-      net::Stream::Told{[&] {
-                          stream->out().put(bytes);
-                          stream->flush();
-                        },
-                        [&] {
-                          net::Ring& in = stream->in();
-                          while (!in.empty()) {
-                            const std::string_view front = in.front();
-                            out += front;
-                            in.drop(front.size());
-                          }
-                          over = over || whole(out);
-                        },
-                        nullptr, [&](bool) { over = true; }});
+  stream = std::make_unique<net::Stream>(loop, std::move(fd), false, 64 * 1024, bytes.size() + 1,
+                                         net::Stream::Told{[&] {
+                                                             stream->out().put(bytes);
+                                                             stream->flush();
+                                                           },
+                                                           [&] {
+                                                             net::Ring& in = stream->in();
+                                                             while (!in.empty()) {
+                                                               const std::string_view front = in.front();
+                                                               out += front;
+                                                               in.drop(front.size());
+                                                             }
+                                                             over = over || whole(out);
+                                                           },
+                                                           nullptr, [&](bool) { over = true; }});
   run_until(loop, limit, [&] { return over; });
   stream->close();
   return out;
@@ -130,7 +129,8 @@
   if (fields.size() < 22) return out;
   out.cpu = (std::atof(fields[11].c_str()) + std::atof(fields[12].c_str())) /
             static_cast<double>(sysconf(_SC_CLK_TCK));
-  out.rss = std::strtoull(fields[21].c_str(), nullptr, 10) * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+  out.rss =
+      std::strtoull(fields[21].c_str(), nullptr, 10) * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
   return out;
 }
 
--- a/src/rig/process.h
+++ b/src/rig/process.h
@@ -1,5 +1,5 @@
-// Processes of the rig: any program of this build with its words and environment, its output in a file; and calls
-// over HTTP to a keeper. Nothing is left behind: what is started here ends with this process.
+// Processes of the rig: any program of this build with its words and environment, its output in a file; and
+// calls over HTTP to a keeper. Nothing is left behind: what is started here ends with this process.
 #pragma once
 
 #include <sys/types.h>
--- a/src/rig/relay.cpp
+++ b/src/rig/relay.cpp
@@ -98,8 +98,8 @@
   };
   pair->there.stream = stream(std::move(fd), true, true);
   pair->back.stream = stream(std::move(out), false, false);
-  // Whoever connects here is connected at once, the other side perhaps seconds later: what was given meanwhile would come
-  // in long after its sender had given it up.
+  // Whoever connects here is connected at once, the other side perhaps seconds later: what was given
+  // meanwhile would come in long after its sender had given it up.
   pair->connecting = loop_.at(loop_.now() + kConnect, [this, pair] {
     pair->connecting.reset();
     if (!pair->back.stream->connected()) drop(*pair, true);
@@ -136,7 +136,8 @@
       count = std::min(count, steps_of(way.trickle).first);
     }
     if (way.reset_after >= 0)
-      count = std::min<std::size_t>(count, static_cast<std::size_t>(std::max<std::int64_t>(way.reset_after - from.passed, 0)));
+      count = std::min<std::size_t>(
+          count, static_cast<std::size_t>(std::max<std::int64_t>(way.reset_after - from.passed, 0)));
     if (count > 0) {
       to.out().put(std::string_view(bytes).substr(0, count));
       from.passed += static_cast<std::int64_t>(count);
--- a/src/rig/relay.h
+++ b/src/rig/relay.h
@@ -21,11 +21,12 @@
 // One direction.
 struct Way {
   Span delay{};
-  Span jitter{};                  // drawn anew for each connection, up to this: they overtake each other
-  bool lost = false;              // taken and never delivered
-  bool held = false;              // delivered once it is no longer
-  std::int64_t trickle = 0;       // bytes a second; 0: as they come
-  std::int64_t reset_after = -1;  // both sides are reset once so many bytes have gone this way on a connection
+  Span jitter{};             // drawn anew for each connection, up to this: they overtake each other
+  bool lost = false;         // taken and never delivered
+  bool held = false;         // delivered once it is no longer
+  std::int64_t trickle = 0;  // bytes a second; 0: as they come
+  std::int64_t reset_after =
+      -1;  // both sides are reset once so many bytes have gone this way on a connection
 };
 
 class Relay {
--- a/src/rig/site.cpp
+++ b/src/rig/site.cpp
@@ -51,12 +51,14 @@
   leaf.service = std::chrono::milliseconds(options.service_ms);
   leaf.spread = true;
   for (int i = 0; i < options.servers; ++i) {
-    leaves_.push_back(std::make_unique<standins::Leaf>(loop_, leaf, options.seed * 100 + static_cast<std::uint32_t>(i)));
+    leaves_.push_back(
+        std::make_unique<standins::Leaf>(loop_, leaf, options.seed * 100 + static_cast<std::uint32_t>(i)));
     net::Address at = address(10 + static_cast<std::uint32_t>(i));
     if (leaves_.back()->listen(at) < 0) throw std::system_error(errno, std::generic_category(), at.text());
     if (options.server_relays) {
       const net::Address before = address(200 + static_cast<std::uint32_t>(i));
-      server_relays_.push_back(std::make_unique<Relay>(loop_, before, at, options.seed * 7 + static_cast<std::uint32_t>(i)));
+      server_relays_.push_back(
+          std::make_unique<Relay>(loop_, before, at, options.seed * 7 + static_cast<std::uint32_t>(i)));
       at = before;
     }
     standins::Listed listed;
@@ -116,8 +118,8 @@
   settings["replicas-of-me"] = options_.machines;
   if (of.room > 0) settings["limits"]["max-open"] = of.room;
   if (of.broken_settings) settings["limits"]["attempts-cap"] = 0;
-  json config = standins::configuration(machine.name, machine.gatherer, machine.discovery, discovery_->body(-1),
-                                        std::move(settings));
+  json config = standins::configuration(machine.name, machine.gatherer, machine.discovery,
+                                        discovery_->body(-1), std::move(settings));
   if (!of.flaw.empty()) config["flaw"] = of.flaw;
   write_file(at + "/config.json", config.dump(1) + "\n");
   return at;
--- a/src/rig/site.h
+++ b/src/rig/site.h
@@ -1,6 +1,7 @@
-// A small installation for rigs: shard servers and discovery as stand-ins in this process's loop, and any number of
-// machines, each a keeper as a process of its own over a gatherer as another. Relays stand in every path where they
-// are wanted. Everything is on loopback and in a folder of its own that goes with this object.
+// A small installation for rigs: shard servers and discovery as stand-ins in this process's loop, and any
+// number of machines, each a keeper as a process of its own over a gatherer as another. Relays stand in every
+// path where they are wanted. Everything is on loopback and in a folder of its own that goes with this
+// object.
 #pragma once
 
 #include <memory>
@@ -19,16 +20,16 @@
   int servers = 4;
   int service_ms = 2;
   std::uint32_t seed = 1;
-  std::uint32_t block = 0;  // of addresses, so that sites beside each other do not meet
+  std::uint32_t block = 0;      // of addresses, so that sites beside each other do not meet
   bool control_relays = false;  // between the tools and each keeper
   bool client_relays = false;   // between clients and each gatherer
   bool list_relays = false;     // between each gatherer and discovery
   bool server_relays = false;   // between all gatherers and each server
   bool bent = false;            // the lab's keeper: its clock, disk and points can be bent
   // Short, so that tests are: words of the keepers' command lines.
-  std::vector<std::string> keeper_words{"--prove",      "0.5", "--prove-limit", "4",   "--start-limit", "3",
-                                        "--silent-after", "2", "--hung-limit",  "1.5", "--first-wait",  "0.05",
-                                        "--longest-wait", "1", "--most-strikes", "5"};
+  std::vector<std::string> keeper_words{
+      "--prove",      "0.5", "--prove-limit", "4",    "--start-limit",  "3", "--silent-after", "2",
+      "--hung-limit", "1.5", "--first-wait",  "0.05", "--longest-wait", "1", "--most-strikes", "5"};
 };
 
 class Site {
@@ -41,7 +42,7 @@
   struct Machine {
     int number = 0;
     std::string name, folder, log, bends;
-    net::Address listen;   // where clients go: the gatherer, or the relay before it
+    net::Address listen;  // where clients go: the gatherer, or the relay before it
     net::Address gatherer;
     net::Address control;  // where tools go: the keeper, or the relay before it
     net::Address keeper_at;
@@ -51,9 +52,9 @@
     std::uint64_t number_of_order = 0;
   };
 
-  // Makes a folder with a program and settings for that machine. `program` is this build's; `mark` tells one from
-  // another of the same program (bytes after its end); `flaw` is for marbledyke-flawed. `tick` is the setting that
-  // differs.
+  // Makes a folder with a program and settings for that machine. `program` is this build's; `mark` tells one
+  // from another of the same program (bytes after its end); `flaw` is for marbledyke-flawed. `tick` is the
+  // setting that differs.
   struct Recipe {
     std::string program = "marbledyke";
     std::string mark, flaw;
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -10,29 +10,32 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-constexpr const char* kStateNames[] = {"planned", "checking",  "watching", "swapping", "soaking", "waiting",
-                                       "paused",  "confirming", "returning", "done",     "returned", "held",    "refused"};
-constexpr const char* kEventNames[] = {"start",  "ready",   "not ready",  "watched", "swapped",    "swap failed",
-                                       "passed", "too little", "goes on", "stop",    "waited out", "pause",
-                                       "resume", "back",    "all back",   "back failed", "all told"};
+constexpr const char* kStateNames[] = {"planned",  "checking", "watching",   "swapping",  "soaking",
+                                       "waiting",  "paused",   "confirming", "returning", "done",
+                                       "returned", "held",     "refused"};
+constexpr const char* kEventNames[] = {"start",       "ready",   "not ready",  "watched", "swapped",
+                                       "swap failed", "passed",  "too little", "goes on", "stop",
+                                       "waited out",  "pause",   "resume",     "back",    "all back",
+                                       "back failed", "all told"};
 constexpr Span kOnItsWay = 5s;  // an order that no report shows after this was not taken, and is given again
 constexpr Span kHeard = 2s;     // a report that is so much later was made after it
-constexpr const char* kAtNames[] = {"old", "ordered", "on_trial", "confirmed", "back_ordered", "back", "held"};
+constexpr const char* kAtNames[] = {"old",          "ordered", "on_trial", "confirmed",
+                                    "back_ordered", "back",    "held"};
 
 enum class Do {
   ignore,
   impossible,
   check,
   watch,
-  swap,      // the first stage begins
+  swap,  // the first stage begins
   soak,
-  advance,   // what passed is confirmed; the next stage, or the end
+  advance,  // what passed is confirmed; the next stage, or the end
   wait,
   go_on,
-  rest,      // paused
+  rest,        // paused
   go_on_from,  // where it was paused
   go_back,
-  give_up,   // nothing was changed, nothing goes back
+  give_up,  // nothing was changed, nothing goes back
   end
 };
 
@@ -45,80 +48,210 @@
 constexpr Next stay(S s) { return {Do::ignore, s}; }
 constexpr Next never(S s) { return {Do::impossible, s}; }
 
-// start, ready, not_ready, watched, swapped, swap_failed, passed, too_little, goes_on, stop, waited_out, pause, resume,
-// back, all_back, back_failed, all_told
+// start, ready, not_ready, watched, swapped, swap_failed, passed, too_little, goes_on, stop, waited_out,
+// pause, resume, back, all_back, back_failed, all_told
 constexpr Next kTable[kStates][kHappens] = {
     /* planned */
-    {{Do::check, S::checking}, never(S::planned), never(S::planned), never(S::planned), never(S::planned),
-     never(S::planned), never(S::planned), never(S::planned), never(S::planned), stay(S::planned),
-     never(S::planned), stay(S::planned), stay(S::planned), {Do::give_up, S::refused}, never(S::planned),
-     never(S::planned), never(S::planned)},
+    {{Do::check, S::checking},
+     never(S::planned),
+     never(S::planned),
+     never(S::planned),
+     never(S::planned),
+     never(S::planned),
+     never(S::planned),
+     never(S::planned),
+     never(S::planned),
+     stay(S::planned),
+     never(S::planned),
+     stay(S::planned),
+     stay(S::planned),
+     {Do::give_up, S::refused},
+     never(S::planned),
+     never(S::planned),
+     never(S::planned)},
     /* checking */
-    {stay(S::checking), {Do::watch, S::watching}, {Do::give_up, S::refused}, never(S::checking), never(S::checking),
-     never(S::checking), never(S::checking), never(S::checking), never(S::checking), stay(S::checking),
-     never(S::checking), {Do::rest, S::paused}, stay(S::checking), {Do::give_up, S::refused}, never(S::checking),
-     never(S::checking), never(S::checking)},
+    {stay(S::checking),
+     {Do::watch, S::watching},
+     {Do::give_up, S::refused},
+     never(S::checking),
+     never(S::checking),
+     never(S::checking),
+     never(S::checking),
+     never(S::checking),
+     never(S::checking),
+     stay(S::checking),
+     never(S::checking),
+     {Do::rest, S::paused},
+     stay(S::checking),
+     {Do::give_up, S::refused},
+     never(S::checking),
+     never(S::checking),
+     never(S::checking)},
     /* watching */
-    {stay(S::watching), never(S::watching), {Do::give_up, S::refused}, {Do::swap, S::swapping}, never(S::watching),
-     {Do::go_back, S::returning}, never(S::watching), never(S::watching), never(S::watching), stay(S::watching),
-     never(S::watching), {Do::rest, S::paused}, stay(S::watching), {Do::give_up, S::refused}, never(S::watching),
-     never(S::watching), never(S::watching)},
+    {stay(S::watching),
+     never(S::watching),
+     {Do::give_up, S::refused},
+     {Do::swap, S::swapping},
+     never(S::watching),
+     {Do::go_back, S::returning},
+     never(S::watching),
+     never(S::watching),
+     never(S::watching),
+     stay(S::watching),
+     never(S::watching),
+     {Do::rest, S::paused},
+     stay(S::watching),
+     {Do::give_up, S::refused},
+     never(S::watching),
+     never(S::watching),
+     never(S::watching)},
     /* swapping */
-    {stay(S::swapping), never(S::swapping), never(S::swapping), never(S::swapping), {Do::soak, S::soaking},
-     {Do::go_back, S::returning}, stay(S::swapping), stay(S::swapping), stay(S::swapping),
-     {Do::go_back, S::returning}, {Do::go_back, S::returning}, {Do::rest, S::paused}, stay(S::swapping),
-     {Do::go_back, S::returning}, never(S::swapping), never(S::swapping), never(S::swapping)},
+    {stay(S::swapping),
+     never(S::swapping),
+     never(S::swapping),
+     never(S::swapping),
+     {Do::soak, S::soaking},
+     {Do::go_back, S::returning},
+     stay(S::swapping),
+     stay(S::swapping),
+     stay(S::swapping),
+     {Do::go_back, S::returning},
+     {Do::go_back, S::returning},
+     {Do::rest, S::paused},
+     stay(S::swapping),
+     {Do::go_back, S::returning},
+     never(S::swapping),
+     never(S::swapping),
+     never(S::swapping)},
     /* soaking */
-    {stay(S::soaking), never(S::soaking), never(S::soaking), never(S::soaking), never(S::soaking),
-     {Do::go_back, S::returning}, {Do::advance, S::swapping}, {Do::wait, S::waiting}, stay(S::soaking),
-     {Do::go_back, S::returning}, never(S::soaking), {Do::rest, S::paused}, stay(S::soaking),
-     {Do::go_back, S::returning}, never(S::soaking), never(S::soaking), never(S::soaking)},
+    {stay(S::soaking),
+     never(S::soaking),
+     never(S::soaking),
+     never(S::soaking),
+     never(S::soaking),
+     {Do::go_back, S::returning},
+     {Do::advance, S::swapping},
+     {Do::wait, S::waiting},
+     stay(S::soaking),
+     {Do::go_back, S::returning},
+     never(S::soaking),
+     {Do::rest, S::paused},
+     stay(S::soaking),
+     {Do::go_back, S::returning},
+     never(S::soaking),
+     never(S::soaking),
+     never(S::soaking)},
     /* waiting */
-    {stay(S::waiting), never(S::waiting), never(S::waiting), never(S::waiting), never(S::waiting),
-     {Do::go_back, S::returning}, {Do::advance, S::swapping}, stay(S::waiting), {Do::go_on, S::soaking},
-     {Do::go_back, S::returning}, {Do::go_back, S::returning}, {Do::rest, S::paused}, stay(S::waiting),
-     {Do::go_back, S::returning}, never(S::waiting), never(S::waiting), never(S::waiting)},
+    {stay(S::waiting),
+     never(S::waiting),
+     never(S::waiting),
+     never(S::waiting),
+     never(S::waiting),
+     {Do::go_back, S::returning},
+     {Do::advance, S::swapping},
+     stay(S::waiting),
+     {Do::go_on, S::soaking},
+     {Do::go_back, S::returning},
+     {Do::go_back, S::returning},
+     {Do::rest, S::paused},
+     stay(S::waiting),
+     {Do::go_back, S::returning},
+     never(S::waiting),
+     never(S::waiting),
+     never(S::waiting)},
     /* paused: what is worse goes back all the same */
-    {stay(S::paused), stay(S::paused), {Do::give_up, S::refused}, stay(S::paused), stay(S::paused),
-     {Do::go_back, S::returning}, stay(S::paused), stay(S::paused), stay(S::paused), {Do::go_back, S::returning},
-     never(S::paused), stay(S::paused), {Do::go_on_from, S::paused}, {Do::go_back, S::returning}, never(S::paused),
-     never(S::paused), never(S::paused)},
+    {stay(S::paused),
+     stay(S::paused),
+     {Do::give_up, S::refused},
+     stay(S::paused),
+     stay(S::paused),
+     {Do::go_back, S::returning},
+     stay(S::paused),
+     stay(S::paused),
+     stay(S::paused),
+     {Do::go_back, S::returning},
+     never(S::paused),
+     stay(S::paused),
+     {Do::go_on_from, S::paused},
+     {Do::go_back, S::returning},
+     never(S::paused),
+     never(S::paused),
+     never(S::paused)},
     /* confirming: nothing is judged any more */
-    {stay(S::confirming), never(S::confirming), never(S::confirming), never(S::confirming), never(S::confirming),
-     {Do::go_back, S::returning}, stay(S::confirming), stay(S::confirming), stay(S::confirming), stay(S::confirming),
-     {Do::end, S::held}, stay(S::confirming), stay(S::confirming), {Do::go_back, S::returning}, never(S::confirming),
-     never(S::confirming), {Do::end, S::done}},
+    {stay(S::confirming),
+     never(S::confirming),
+     never(S::confirming),
+     never(S::confirming),
+     never(S::confirming),
+     {Do::go_back, S::returning},
+     stay(S::confirming),
+     stay(S::confirming),
+     stay(S::confirming),
+     stay(S::confirming),
+     {Do::end, S::held},
+     stay(S::confirming),
+     stay(S::confirming),
+     {Do::go_back, S::returning},
+     never(S::confirming),
+     never(S::confirming),
+     {Do::end, S::done}},
     /* returning */
-    {stay(S::returning), never(S::returning), never(S::returning), never(S::returning), never(S::returning),
-     stay(S::returning), stay(S::returning), stay(S::returning), stay(S::returning), stay(S::returning),
-     never(S::returning), stay(S::returning), stay(S::returning), stay(S::returning), {Do::end, S::returned},
-     {Do::end, S::held}, never(S::returning)},
+    {stay(S::returning),
+     never(S::returning),
+     never(S::returning),
+     never(S::returning),
+     never(S::returning),
+     stay(S::returning),
+     stay(S::returning),
+     stay(S::returning),
+     stay(S::returning),
+     stay(S::returning),
+     never(S::returning),
+     stay(S::returning),
+     stay(S::returning),
+     stay(S::returning),
+     {Do::end, S::returned},
+     {Do::end, S::held},
+     never(S::returning)},
     /* done */
-    {stay(S::done), never(S::done), never(S::done), never(S::done), never(S::done), stay(S::done), stay(S::done),
-     stay(S::done), stay(S::done), stay(S::done), never(S::done), stay(S::done), stay(S::done), stay(S::done),
-     never(S::done), never(S::done), never(S::done)},
+    {stay(S::done), never(S::done), never(S::done), never(S::done), never(S::done), stay(S::done),
+     stay(S::done), stay(S::done), stay(S::done), stay(S::done), never(S::done), stay(S::done), stay(S::done),
+     stay(S::done), never(S::done), never(S::done), never(S::done)},
     /* returned */
     {stay(S::returned), never(S::returned), never(S::returned), never(S::returned), never(S::returned),
      stay(S::returned), stay(S::returned), stay(S::returned), stay(S::returned), stay(S::returned),
      never(S::returned), stay(S::returned), stay(S::returned), stay(S::returned), never(S::returned),
      never(S::returned), never(S::returned)},
     /* held: a person may have it try again */
-    {stay(S::held), never(S::held), never(S::held), never(S::held), never(S::held), stay(S::held), stay(S::held),
-     stay(S::held), stay(S::held), stay(S::held), never(S::held), stay(S::held), stay(S::held),
-     {Do::go_back, S::returning}, never(S::held), never(S::held), never(S::held)},
+    {stay(S::held),
+     never(S::held),
+     never(S::held),
+     never(S::held),
+     never(S::held),
+     stay(S::held),
+     stay(S::held),
+     stay(S::held),
+     stay(S::held),
+     stay(S::held),
+     never(S::held),
+     stay(S::held),
+     stay(S::held),
+     {Do::go_back, S::returning},
+     never(S::held),
+     never(S::held),
+     never(S::held)},
     /* refused */
-    {stay(S::refused), never(S::refused), never(S::refused), never(S::refused), never(S::refused), stay(S::refused),
-     stay(S::refused), stay(S::refused), stay(S::refused), stay(S::refused), never(S::refused), stay(S::refused),
-     stay(S::refused), stay(S::refused), never(S::refused), never(S::refused), never(S::refused)}};
+    {stay(S::refused), never(S::refused), never(S::refused), never(S::refused), never(S::refused),
+     stay(S::refused), stay(S::refused), stay(S::refused), stay(S::refused), stay(S::refused),
+     never(S::refused), stay(S::refused), stay(S::refused), stay(S::refused), never(S::refused),
+     never(S::refused), never(S::refused)}};
 
 template <typename E>
 constexpr std::size_t place(E e) {
   return static_cast<std::size_t>(e);
 }
 
-bool at_rest(const Report& report) {
-  return report.outcome != "under_way" && report.outcome != "returning";
-}
+bool at_rest(const Report& report) { return report.outcome != "under_way" && report.outcome != "returning"; }
 
 }  // namespace
 
@@ -140,8 +273,9 @@
     const auto former = kept.former.find(name);
     if (former != kept.former.end()) keepers[name]["former"] = former->second;
   }
-  return {{"state", name_of(kept.state)},   {"stage", kept.stage},       {"epoch", kept.epoch},
-          {"why", kept.why},                {"since_ms", kept.since_ms}, {"paused_from", name_of(kept.paused_from)},
+  return {{"state", name_of(kept.state)}, {"stage", kept.stage},
+          {"epoch", kept.epoch},          {"why", kept.why},
+          {"since_ms", kept.since_ms},    {"paused_from", name_of(kept.paused_from)},
           {"keepers", std::move(keepers)}};
 }
 
@@ -168,8 +302,8 @@
   return out;
 }
 
-Conductor::Conductor(const Plan& plan, const std::vector<Member>& members, Kept kept, std::uint64_t epoch, Span now,
-                     Span wall)
+Conductor::Conductor(const Plan& plan, const std::vector<Member>& members, Kept kept, std::uint64_t epoch,
+                     Span now, Span wall)
     : plan_(plan),
       members_(members),
       stages_(stages_of(plan, members)),
@@ -211,7 +345,8 @@
   out.what = what;
   out.keeper = keeper;
   out.why = why;
-  if (what == Act::What::take || what == Act::What::try_out || what == Act::What::use) out.version = plan_.version;
+  if (what == Act::What::take || what == Act::What::try_out || what == Act::What::use)
+    out.version = plan_.version;
   if (what == Act::What::back) out.version = kept_.former[keeper];
   if (!keeper.empty()) {
     auto& [epoch, number] = given_[keeper];
@@ -271,7 +406,8 @@
     say(order.first);
     say(order.second);
   }
-  for (const Act& act : acts_) out += "; act " + std::to_string(static_cast<int>(act.what)) + ' ' + act.keeper;
+  for (const Act& act : acts_)
+    out += "; act " + std::to_string(static_cast<int>(act.what)) + ' ' + act.keeper;
   return out;
 }
 
@@ -286,7 +422,8 @@
 
 void Conductor::report(const std::string& keeper, const Report& report) {
   if (!kept_.keepers.contains(keeper)) return;
-  // What it said before it took the last order that it is known to have taken comes late, and is true no more.
+  // What it said before it took the last order that it is known to have taken comes late, and is true no
+  // more.
   const auto before = reports_.find(keeper);
   if (before != reports_.end() && before->second.life == report.life &&
       std::pair(report.epoch, report.number) < std::pair(before->second.epoch, before->second.number))
@@ -300,7 +437,8 @@
   switch (at) {
     case At::old:
     case At::back:
-      // An order of a former conductor was on its way, and has been taken: it counts as this one's from now on.
+      // An order of a former conductor was on its way, and has been taken: it counts as this one's from now
+      // on.
       if (!has || kept_.state == State::checking || kept_.state == State::planned || over()) return;
       if (at_rest(report)) {
         at = report.outcome == "on_trial" ? At::on_trial : At::confirmed;
@@ -343,10 +481,13 @@
     case At::back_ordered:
       // What it said before the order came says nothing of it.
       if (now_ - ordered_[keeper] < kHeard) return;
-      // Nor does its being where it was before: an order to change that is on its way still would be taken. Only the order
-      // back, once taken, fences that by its number.
-      if (!back_number_.contains(keeper) || report.epoch != kept_.epoch || report.number < back_number_[keeper]) return;
-      if (report.in_force == kept_.former[keeper] && at_rest(report) && report.outcome != "held" && report.serves) {
+      // Nor does its being where it was before: an order to change that is on its way still would be taken.
+      // Only the order back, once taken, fences that by its number.
+      if (!back_number_.contains(keeper) || report.epoch != kept_.epoch ||
+          report.number < back_number_[keeper])
+        return;
+      if (report.in_force == kept_.former[keeper] && at_rest(report) && report.outcome != "held" &&
+          report.serves) {
         at = At::back;
         changed_.erase(keeper);
         ordered_.erase(keeper);
@@ -364,8 +505,8 @@
 
 void Conductor::judged(const Finding& finding) {
   said_ = finding.what;
-  const bool stage = kept_.state == State::soaking || kept_.state == State::waiting || kept_.state == State::swapping ||
-                     kept_.state == State::paused;
+  const bool stage = kept_.state == State::soaking || kept_.state == State::waiting ||
+                     kept_.state == State::swapping || kept_.state == State::paused;
   if (!stage) return;
   switch (finding.verdict) {
     case Verdict::going:
@@ -398,8 +539,8 @@
       bool all = true;
       for (const Member& member : members_) {
         const auto report = reports_.find(member.name);
-        const bool there = report != reports_.end() && report->second.has_version && at_rest(report->second) &&
-                           report->second.serves &&
+        const bool there = report != reports_.end() && report->second.has_version &&
+                           at_rest(report->second) && report->second.serves &&
                            (report->second.outcome != "on_trial" || report->second.in_force == plan_.version);
         const bool untried = plan_.tried && there && report->second.in_force != plan_.version &&
                              report->second.tried != Report::Tried::good;
@@ -430,7 +571,8 @@
             who += " " + member.name + " (not reached)";
           } else if (!report->second.has_version) {
             who += " " + member.name + " (does not have " + plan_.version + ": " + report->second.why + ")";
-          } else if (plan_.tried && report->second.tried == Report::Tried::no && report->second.in_force != plan_.version) {
+          } else if (plan_.tried && report->second.tried == Report::Tried::no &&
+                     report->second.in_force != plan_.version) {
             who += " " + member.name + " (has not tried it)";
           } else if (!report->second.serves || !at_rest(report->second)) {
             who += " " + member.name + " (does not serve, or an order is under way)";
@@ -454,7 +596,8 @@
       if (now_ - since_ < plan_.longest_wait) return;
       std::string who;
       for (const std::string& name : untold) who += " " + name;
-      return on(Happens::waited_out, "passed, but not confirmed at" + who + ": confirm it there by hand, or it takes it back");
+      return on(Happens::waited_out,
+                "passed, but not confirmed at" + who + ": confirm it there by hand, or it takes it back");
     }
     case State::returning:
       return order_some_back();
@@ -463,8 +606,8 @@
   }
 }
 
-// One that has the version already was changed by a conductor whose memory this one has not: it is not changed again, and
-// what it goes back to is what its keeper says.
+// One that has the version already was changed by a conductor whose memory this one has not: it is not
+// changed again, and what it goes back to is what its keeper says.
 void Conductor::adopt(const std::string& name, const Report& report) {
   const bool has = report.in_force == plan_.version;
   kept_.former[name] = has ? report.former : report.in_force;
@@ -519,7 +662,8 @@
 
 // The newest first: what was changed last has shown least. At most as many at a time as on the way there.
 void Conductor::order_some_back() {
-  // An order that was given a moment ago may be on its way still; what its keeper said before says nothing of it.
+  // An order that was given a moment ago may be on its way still; what its keeper said before says nothing of
+  // it.
   const auto settled = [&](const std::string& name) {
     const auto report = reports_.find(name);
     return report != reports_.end() && at_rest(report->second) && now_ - ordered_[name] >= kOnItsWay;
@@ -530,15 +674,16 @@
   bool open = !of(At::back_ordered).empty() || !of(At::ordered).empty(), failed = !of(At::held).empty();
   std::vector<std::pair<Span, std::string>> left;
   for (const auto& [name, at] : kept_.keepers) {
-    if (at == At::on_trial || at == At::confirmed || ((at == At::ordered || at == At::back_ordered) && settled(name)))
+    if (at == At::on_trial || at == At::confirmed ||
+        ((at == At::ordered || at == At::back_ordered) && settled(name)))
       left.emplace_back(changed_.contains(name) ? changed_.at(name) : now_, name);
   }
   std::sort(left.rbegin(), left.rend());
   std::vector<std::string> now_ordered;
   for (const auto& [since, name] : left) {
     open = true;
-    // One that is being changed is at rest soon; its keeper refuses until then. One that was ordered and did not
-    // change is ordered back all the same: by its number that fences the order that may be on its way.
+    // One that is being changed is at rest soon; its keeper refuses until then. One that was ordered and did
+    // not change is ordered back all the same: by its number that fences the order that may be on its way.
     const auto report = reports_.find(name);
     if (under_way >= plan_.at_a_time || report == reports_.end() || !at_rest(report->second)) continue;
     if (!back_since_.contains(name)) back_since_[name] = now_;
@@ -568,14 +713,15 @@
   if (open && of(At::held).empty()) return;
   if (open) {
     // Some can still go back; those that cannot are left to a person once all others are.
-    const bool any = !of(At::back_ordered).empty() || !of(At::on_trial).empty() || !of(At::confirmed).empty() ||
-                     !of(At::ordered).empty();
+    const bool any = !of(At::back_ordered).empty() || !of(At::on_trial).empty() ||
+                     !of(At::confirmed).empty() || !of(At::ordered).empty();
     if (any) return;
   }
   if (failed) {
     std::string who;
     for (const std::string& name : of(At::held)) who += " " + name;
-    return on(Happens::back_failed, "the way back failed at" + who + "; bring a sound version in force there by hand");
+    return on(Happens::back_failed,
+              "the way back failed at" + who + "; bring a sound version in force there by hand");
   }
   on(Happens::all_back);
 }
@@ -588,14 +734,17 @@
   }
 }
 
-// A confirmation that no report shows was lost: its keeper would take back, when its trial is over, what has passed.
+// A confirmation that no report shows was lost: its keeper would take back, when its trial is over, what has
+// passed.
 void Conductor::confirm_again() {
-  const bool under_way = kept_.state == State::swapping || kept_.state == State::soaking || kept_.state == State::waiting ||
-                         kept_.state == State::confirming;
+  const bool under_way = kept_.state == State::swapping || kept_.state == State::soaking ||
+                         kept_.state == State::waiting || kept_.state == State::confirming;
   if (!under_way) return;
   for (int stage = 0; stage < (kept_.state == State::confirming ? kept_.stage + 1 : kept_.stage); ++stage) {
     for (const std::string& name : stages_[static_cast<std::size_t>(stage)]) {
-      if (kept_.keepers[name] != At::on_trial || now_ - last_heard_[name] > kOnItsWay || now_ - again_[name] < kOnItsWay) continue;
+      if (kept_.keepers[name] != At::on_trial || now_ - last_heard_[name] > kOnItsWay ||
+          now_ - again_[name] < kOnItsWay)
+        continue;
       again_[name] = now_;
       act(Act::What::confirm, name);
     }
@@ -606,7 +755,8 @@
   const Next& cell = kTable[place(kept_.state)][place(event)];
   if (cell.what == Do::impossible) {
     impossible_ += 1;
-    return act(Act::What::note, {}, std::string("IMPOSSIBLE: ") + name_of(event) + " in " + name_of(kept_.state));
+    return act(Act::What::note, {},
+               std::string("IMPOSSIBLE: ") + name_of(event) + " in " + name_of(kept_.state));
   }
   if (cell.what == Do::ignore) return;
   const State from = kept_.state;
@@ -614,7 +764,8 @@
   since_ = now_;
   kept_.since_ms = wall_ / 1ms;
   if (!why.empty()) kept_.why = why;
-  act(Act::What::note, {}, std::string(name_of(from)) + ", " + name_of(event) + (why.empty() ? "" : ": " + why));
+  act(Act::What::note, {},
+      std::string(name_of(from)) + ", " + name_of(event) + (why.empty() ? "" : ": " + why));
   switch (cell.what) {
     case Do::ignore:
     case Do::impossible:
--- a/src/rollout/conductor.h
+++ b/src/rollout/conductor.h
@@ -1,7 +1,7 @@
-// A rolling change as a machine without I/O: a table of state and event, every pair handled or declared impossible.
-// It is told what keepers report, what the judge says and what time it is; the orders that it decides on are pulled
-// with next(). What has to survive it is kept(); a successor goes on from that and from what the keepers report, and
-// may give an order again, which keepers recognise.
+// A rolling change as a machine without I/O: a table of state and event, every pair handled or declared
+// impossible. It is told what keepers report, what the judge says and what time it is; the orders that it
+// decides on are pulled with next(). What has to survive it is kept(); a successor goes on from that and from
+// what the keepers report, and may give an order again, which keepers recognise.
 #pragma once
 
 #include <cstdint>
@@ -35,10 +35,10 @@
 inline constexpr int kStates = 13;
 enum class Happens {
   start,
-  ready,       // every keeper is
+  ready,  // every keeper is
   not_ready,
-  watched,     // long enough before the change
-  swapped,     // all of the stage
+  watched,  // long enough before the change
+  swapped,  // all of the stage
   swap_failed,
   passed,
   too_little,  // or a trouble of all
@@ -47,10 +47,10 @@
   waited_out,  // the longest wait is over
   pause,
   resume,
-  back,        // a person wants it back
+  back,  // a person wants it back
   all_back,
   back_failed,
-  all_told     // every keeper has been told that it stays
+  all_told  // every keeper has been told that it stays
 };
 inline constexpr int kHappens = 17;
 const char* name_of(State state);
@@ -63,8 +63,8 @@
 // What a keeper says of itself.
 struct Report {
   std::string in_force, former, outcome, why;  // former: what it goes back to
-  std::uint64_t epoch = 0, number = 0;  // of the last order it took
-  std::int64_t life = 0;                // of the keeper's own process: when it began
+  std::uint64_t epoch = 0, number = 0;         // of the last order it took
+  std::int64_t life = 0;                       // of the keeper's own process: when it began
   // What became of trying the version beside what serves; `why` says it.
   enum class Tried { no, good, bad } tried = Tried::no;
   bool has_version = false, serves = false, gave_up = false;
@@ -94,7 +94,8 @@
 class Conductor {
  public:
   // A successor is given what was kept, and an epoch above all that the keepers have seen.
-  Conductor(const Plan& plan, const std::vector<Member>& members, Kept kept, std::uint64_t epoch, Span now, Span wall);
+  Conductor(const Plan& plan, const std::vector<Member>& members, Kept kept, std::uint64_t epoch, Span now,
+            Span wall);
 
   void start() { on(Happens::start); }
   void report(const std::string& keeper, const Report& report);
@@ -118,14 +119,15 @@
   const std::vector<std::vector<std::string>>& stages() const { return stages_; }
   std::uint64_t impossible() const { return impossible_; }
   const std::string& said() const { return said_; }  // of the wait, in words
-  // All that decides what it does from here on; times as ages of `horizon` at most. Two of one line go on alike.
+  // All that decides what it does from here on; times as ages of `horizon` at most. Two of one line go on
+  // alike.
   std::string line(Span horizon) const;
 
  private:
   struct Cell;
   void on(Happens event, const std::string& why = {});
   void act(Act::What what, const std::string& keeper = {}, const std::string& why = {});
-  void order_some();      // of the stage, as many as may be at a time
+  void order_some();  // of the stage, as many as may be at a time
   void order_some_back();
   void confirm_stage();
   void confirm_again();
@@ -142,9 +144,11 @@
   Span soak_since_{}, wait_since_{};
   std::map<std::string, Span> ordered_, changed_, last_heard_, back_since_, again_;
   std::map<std::string, Report> reports_;
-  std::map<std::string, std::uint64_t> use_number_;   // of the last order to change that each was given in this epoch
+  std::map<std::string, std::uint64_t>
+      use_number_;  // of the last order to change that each was given in this epoch
   std::map<std::string, std::uint64_t> back_number_;  // of the first order back
-  // Of the last order that each keeper is known to have been given: by its report, or by this conductor since.
+  // Of the last order that each keeper is known to have been given: by its report, or by this conductor
+  // since.
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> given_;
   std::string said_;
   std::uint64_t impossible_ = 0;
--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -37,7 +37,8 @@
   return at == keepers_.end() || at->second.seconds.empty() ? 0 : at->second.seconds.rbegin()->first;
 }
 
-void Evidence::used(const std::string& keeper, std::int64_t since_ms, std::int64_t now_ms, double cpu_s, double rss) {
+void Evidence::used(const std::string& keeper, std::int64_t since_ms, std::int64_t now_ms, double cpu_s,
+                    double rss) {
   const auto at = keepers_.find(keeper);
   if (at == keepers_.end()) return;
   Of& of = at->second;
@@ -77,7 +78,8 @@
     for (auto at = of.seconds.lower_bound(from_ms); at != of.seconds.end() && at->first < until; ++at) {
       const Second& second = at->second;
       if (at->first - second.since_ms < plan_.burn_in / 1ms) continue;
-      // On a keeper that was changed, seconds of its former process belong to nobody, and the other way round.
+      // On a keeper that was changed, seconds of its former process belong to nobody, and the other way
+      // round.
       if (by_version && (second.version == plan_.version) != changed.contains(name)) continue;
       for (const auto& [op, count] : second.window.by_op_type) {
         mine[op].add(count, judge_ ? judge_->slow_from(op).value_or(0us) : 0us);
@@ -99,7 +101,8 @@
   changed_ = changed;
   std::set<std::string> zones;
   for (const auto& [name, of] : keepers_) zones.insert(of.zone);
-  judge_ = std::make_unique<Judge>(plan_.limits, comparisons(plan_, op_types(), static_cast<int>(zones.size())));
+  judge_ =
+      std::make_unique<Judge>(plan_.limits, comparisons(plan_, op_types(), static_cast<int>(zones.size())));
   const std::int64_t step = plan_.limits.block_s * 1000;
   const std::int64_t first = floor_to(from_ms + step - 1, step);
   for (const auto& [name, of] : keepers_) {
@@ -107,7 +110,8 @@
       for (const auto& [op, count] : at->second.window.by_op_type) judge_->learn_latencies(op, count.latency);
     }
   }
-  for (std::int64_t at = first; at + step <= until_ms; at += step) judge_->before(block_of(at, changed_, false));
+  for (std::int64_t at = first; at + step <= until_ms; at += step)
+    judge_->before(block_of(at, changed_, false));
   judge_->begin();
   next_block_ = floor_to(now_ms + plan_.burn_in / 1ms + step - 1, step);
 }
@@ -115,7 +119,8 @@
 void Evidence::advance(std::int64_t now_ms) {
   if (!judge_) return;
   const std::int64_t step = plan_.limits.block_s * 1000;
-  for (; next_block_ + step + kLateMs <= now_ms; next_block_ += step) judge_->after(block_of(next_block_, changed_, true));
+  for (; next_block_ + step + kLateMs <= now_ms; next_block_ += step)
+    judge_->after(block_of(next_block_, changed_, true));
   look_at_memory();
 }
 
--- a/src/rollout/evidence.h
+++ b/src/rollout/evidence.h
@@ -1,6 +1,6 @@
-// What the judge is given, made from what keepers tell: windows of a second by process, put into blocks of seconds
-// that line up over machines whose clocks do not. Without I/O. A window that comes late counts for its own seconds as
-// long as their block is open; burn-in after a process's start is left out on both sides.
+// What the judge is given, made from what keepers tell: windows of a second by process, put into blocks of
+// seconds that line up over machines whose clocks do not. Without I/O. A window that comes late counts for
+// its own seconds as long as their block is open; burn-in after a process's start is left out on both sides.
 #pragma once
 
 #include <cstdint>
@@ -17,15 +17,17 @@
  public:
   Evidence(const Plan& plan, const std::vector<Member>& members);
 
-  // A window of that keeper's process. `ahead_ms`: by how much that machine's clock is ahead of the conductor's.
-  void heard(const std::string& keeper, const std::string& version, std::int64_t since_ms, std::int64_t ahead_ms,
-             const totals::Window& window);
+  // A window of that keeper's process. `ahead_ms`: by how much that machine's clock is ahead of the
+  // conductor's.
+  void heard(const std::string& keeper, const std::string& version, std::int64_t since_ms,
+             std::int64_t ahead_ms, const totals::Window& window);
   // What its process has used by now, by this machine's clock.
   void used(const std::string& keeper, std::int64_t since_ms, std::int64_t now_ms, double cpu_s, double rss);
 
-  // A stage begins to show itself: those are the new ones, the others the old. What all did in [from, until) is held
-  // as it was before the change.
-  void begin(const std::set<std::string>& changed, std::int64_t from_ms, std::int64_t until_ms, std::int64_t now_ms);
+  // A stage begins to show itself: those are the new ones, the others the old. What all did in [from, until)
+  // is held as it was before the change.
+  void begin(const std::set<std::string>& changed, std::int64_t from_ms, std::int64_t until_ms,
+             std::int64_t now_ms);
   // Blocks that ended long enough ago are given to the judge.
   void advance(std::int64_t now_ms);
   Judge* judge() { return judge_.get(); }
--- a/src/rollout/file.cpp
+++ b/src/rollout/file.cpp
@@ -20,7 +20,8 @@
   plan.name = root.attribute("name").value_or("");
   plan.version = root.attribute("version").value_or("");
   plan.from = root.attribute("from").value_or("");
-  if (!plan.from.empty() && plan.from.front() != '/') reader.fault(root, "from: not an absolute path: " + plan.from);
+  if (!plan.from.empty() && plan.from.front() != '/')
+    reader.fault(root, "from: not an absolute path: " + plan.from);
   plan.tried = root.attribute("try").value_or("yes") == "yes";
   reader.whole(root, "at-a-time", 1, 4096, plan.at_a_time);
   reader.span(root, "before", 5s, 24h, plan.before);
