--- a/src/rollout/judge.cpp
+++ b/src/rollout/judge.cpp
@@ -13,18 +13,19 @@
 
 constexpr double kNoWarmingUp = 16e6;  // bytes that a process grows by beyond what the old ones do
 constexpr const char* kMeasureNames[] = {"good", "failed", "pushed back", "slow", "further sends", "CPU"};
-constexpr const char* kVerdictNames[] = {"going", "passed", "too little to tell", "worse",
-                                         "harm",  "trouble", "at once"};
-constexpr double kLikely = 8;         // blocks at which the mixture is at its best
-constexpr double kLeastBlocks = 8;    // before and since, until a test says anything
-// And so many since: the mean of fewer is fitted to them, so that a cluster alone would scatter by nothing (with 1 a
-// fifth of sound rollouts was stopped).
+constexpr const char* kVerdictNames[] = {"going",   "passed", "too little to tell", "worse", "harm",
+                                         "trouble", "at once"};
+constexpr double kLikely = 8;       // blocks at which the mixture is at its best
+constexpr double kLeastBlocks = 8;  // before and since, until a test says anything
+// And so many since: the mean of fewer is fitted to them, so that a cluster alone would scatter by nothing
+// (with 1 a fifth of sound rollouts was stopped).
 constexpr double kLeastSince = 4;
 constexpr double kLeastScatter = 1e-7;
 constexpr double kMostLog = 700;
-constexpr std::size_t kLately = 6;    // blocks that the whole fleet is held against its past by
-constexpr int kLeastBefore = 4;       // blocks
-constexpr double kBaseChance = 0.1;   // that what was different before lies outside what is taken off, either way
+constexpr std::size_t kLately = 6;  // blocks that the whole fleet is held against its past by
+constexpr int kLeastBefore = 4;     // blocks
+constexpr double kBaseChance =
+    0.1;  // that what was different before lies outside what is taken off, either way
 constexpr std::uint64_t kLeastLatencies = 200;
 
 }  // namespace
@@ -105,7 +106,8 @@
   const double spread = prior + blocks * v;
   const boost::math::normal standard;
   const double below = boost::math::cdf(standard, std::clamp(sum / std::sqrt(spread), -8.0, 8.0));
-  return std::min(std::log(2 * below) + 0.5 * std::log(prior / spread) + sum * std::abs(sum) / (2 * spread) * (sum > 0 ? 1 : 0),
+  return std::min(std::log(2 * below) + 0.5 * std::log(prior / spread) +
+                      sum * std::abs(sum) / (2 * spread) * (sum > 0 ? 1 : 0),
                   kMostLog);
 }
 
@@ -194,9 +196,10 @@
   if (good_old || good_new)
     lately_.emplace_back(good_old ? *good_old : *good_new, good_new ? *good_new : *good_old);
   if (lately_.size() > kLately) lately_.erase(lately_.begin());
-  // What strikes old and new alike neither stops nor passes a stage: differences scatter otherwise in it than before
-  // (two in a hundred sound rollouts were stopped by such blocks).
-  if (good_old && good_new && good_before_old_.count >= kLeastBefore && good_before_new_.count >= kLeastBefore &&
+  // What strikes old and new alike neither stops nor passes a stage: differences scatter otherwise in it than
+  // before (two in a hundred sound rollouts were stopped by such blocks).
+  if (good_old && good_new && good_before_old_.count >= kLeastBefore &&
+      good_before_new_.count >= kLeastBefore &&
       good_before_old_.sum / good_before_old_.count - *good_old >= limits_.trouble / 2 &&
       good_before_new_.sum / good_before_new_.count - *good_new >= limits_.trouble / 2)
     return;
@@ -220,7 +223,8 @@
                               std::sqrt(b0.variance() / b0.count);
           // What was worse before is no fault of the change; what may have been is given to it in part.
           test.offset = std::clamp(b0.sum / b0.count, -0.5, 0.5) + std::min(half, too_much / 2);
-          for (Sequence* one : {&test.worse, &test.sound}) one->know(b0.count, b0.variance() * (b0.count - 1));
+          for (Sequence* one : {&test.worse, &test.sound})
+            one->know(b0.count, b0.variance() * (b0.count - 1));
         }
         at = tests_.emplace(key, test).first;
       }
@@ -270,13 +274,15 @@
   }
   const auto said = [](const Key& key, const Test& test, double too_much) {
     char text[200];
-    std::snprintf(text, sizeof text, "%s of %s in %s: worse by %.4f beyond what was before (%.4f is too much), %d blocks",
-                  name_of(key.measure), key.stratum.op_type.c_str(), key.stratum.zone.c_str(), test.worse.mean(),
-                  too_much, test.worse.count());
+    std::snprintf(text, sizeof text,
+                  "%s of %s in %s: worse by %.4f beyond what was before (%.4f is too much), %d blocks",
+                  name_of(key.measure), key.stratum.op_type.c_str(), key.stratum.zone.c_str(),
+                  test.worse.mean(), too_much, test.worse.count());
     return std::string(text);
   };
   // A trouble of all is nobody's; before the rest, since it spoils what is compared.
-  if (lately_.size() >= kLately && good_before_old_.count >= kLeastBefore && good_before_new_.count >= kLeastBefore) {
+  if (lately_.size() >= kLately && good_before_old_.count >= kLeastBefore &&
+      good_before_new_.count >= kLeastBefore) {
     double now_old = 0, now_new = 0;
     for (const auto& [a, b] : lately_) {
       now_old += a / static_cast<double>(lately_.size());
@@ -285,7 +291,8 @@
     const double fell_old = good_before_old_.sum / good_before_old_.count - now_old;
     const double fell_new = good_before_new_.sum / good_before_new_.count - now_new;
     char text[160];
-    std::snprintf(text, sizeof text, "good share below its past by %.3f (old) and %.3f (new)", fell_old, fell_new);
+    std::snprintf(text, sizeof text, "good share below its past by %.3f (old) and %.3f (new)", fell_old,
+                  fell_new);
     if (fell_old >= limits_.harm && fell_new < fell_old / 2) {
       out.verdict = Verdict::harm;
       out.what = text;
@@ -311,7 +318,8 @@
     return out;
   }
   if (!had_old_ && lately_.size() >= kLately) {
-    // Nor is there a past: a successor that took over in the last stage. What needs no comparison has not spoken.
+    // Nor is there a past: a successor that took over in the last stage. What needs no comparison has not
+    // spoken.
     if (soak_over) out.verdict = Verdict::passed;
     return out;
   }
@@ -331,14 +339,15 @@
     return out;
   }
   if (!soak_over) return out;
-  // What has to be shown not to be worse by too much: every measure over all, and the good share of each op type. The
-  // finer ones only stop: most of them have too little to show anything in a stage's time.
+  // What has to be shown not to be worse by too much: every measure over all, and the good share of each op
+  // type. The finer ones only stop: most of them have too little to show anything in a stage's time.
   const double pass_at = 1 / limits_.doubt;
   int longest = 0;
   bool unsaid = false;
   const Key* open = nullptr;
   for (const auto& [key, test] : tests_) {
-    const bool has_to = key.stratum.op_type == "all" || (key.stratum.zone == "all" && key.measure == Measure::good);
+    const bool has_to =
+        key.stratum.op_type == "all" || (key.stratum.zone == "all" && key.measure == Measure::good);
     if (!has_to || test.sound.wealth() >= pass_at) continue;
     open = &key;
     if (const auto more = test.sound.blocks_until(pass_at)) {
@@ -353,7 +362,8 @@
   }
   out.verdict = Verdict::too_little;
   if (open != nullptr)
-    out.what = std::string(name_of(open->measure)) + " of " + open->stratum.op_type + " in " + open->stratum.zone;
+    out.what =
+        std::string(name_of(open->measure)) + " of " + open->stratum.op_type + " in " + open->stratum.zone;
   else
     out.what = "nothing could be compared";
   if (open != nullptr && !unsaid) out.seconds = longest * limits_.block_s;
--- a/src/rollout/judge.h
+++ b/src/rollout/judge.h
@@ -1,13 +1,14 @@
 // Whether what is new does worse than what is old, from what both did over the same seconds. Without I/O.
 //
-// Each thing compared (a measure, in an op type, in a zone, and over all of them) is a test that may be looked at any
-// time: a mixture of likelihood ratios over how much worse it might be (a half-normal one, in units of what blocks
-// scatter by), which under the hypothesis that it is not worse passes N with a chance of 1/N, whenever one looks. It
-// is exact for blocks of known scatter and here approximate, since the scatter is taken from the blocks; how often a
-// sound change is stopped is therefore measured (experiments/rollouts). A block of seconds is one number, however many
-// multigets are in it and however they hang together, so clusters of failures count once. Where too little was asked
-// for a block, it grows until there is enough. What was different before the change is taken off, with what is not
-// known of it. All tests of a rollout share its chance of a false stop.
+// Each thing compared (a measure, in an op type, in a zone, and over all of them) is a test that may be
+// looked at any time: a mixture of likelihood ratios over how much worse it might be (a half-normal one, in
+// units of what blocks scatter by), which under the hypothesis that it is not worse passes N with a chance of
+// 1/N, whenever one looks. It is exact for blocks of known scatter and here approximate, since the scatter is
+// taken from the blocks; how often a sound change is stopped is therefore measured (experiments/rollouts). A
+// block of seconds is one number, however many multigets are in it and however they hang together, so
+// clusters of failures count once. Where too little was asked for a block, it grows until there is enough.
+// What was different before the change is taken off, with what is not known of it. All tests of a rollout
+// share its chance of a false stop.
 #pragma once
 
 #include <algorithm>
@@ -36,19 +37,20 @@
   double false_stops = 0.01;  // chance that a sound rollout is stopped, over all of it
   double doubt = 0.02;        // chance that a stage passes though it is worse by `too_much`
   double too_much[kMeasures] = {0.01, 0.005, 0.01, 0.03, 0.03, 0.25};  // how much worse is too much
-  double within_op_type = 5;  // a single op type may be shown worse by so many times that before a stage fails to pass
-  double let_be = 0.25;       // of too much: a difference under this stops nothing, however certain it is
-  int block_s = 5;            // seconds that make one bet
-  int least_asked = 20;       // a block with fewer multigets on either side says nothing
+  double within_op_type =
+      5;  // a single op type may be shown worse by so many times that before a stage fails to pass
+  double let_be = 0.25;  // of too much: a difference under this stops nothing, however certain it is
+  int block_s = 5;       // seconds that make one bet
+  int least_asked = 20;  // a block with fewer multigets on either side says nothing
   double memory_a_minute = 0.5e6;  // bytes that a process may grow by, beyond what the old ones do
-  double trouble = 0.05;      // a fall of the whole fleet's good share that is nobody's own: wait
-  double harm = 0.05;         // the old ones fall by this below their past while the new ones do not
+  double trouble = 0.05;           // a fall of the whole fleet's good share that is nobody's own: wait
+  double harm = 0.05;              // the old ones fall by this below their past while the new ones do not
 };
 
 // What one side did in a block, in one op type and zone.
 struct Side {
-  std::uint64_t asked = 0, ended = 0, good = 0, failed = 0, pushed_back = 0, answered = 0, slow = 0, sends = 0,
-                further = 0;
+  std::uint64_t asked = 0, ended = 0, good = 0, failed = 0, pushed_back = 0, answered = 0, slow = 0,
+                sends = 0, further = 0;
   double cpu = 0;  // seconds; of the side as a whole, so the same in each op type
   void add(const totals::Count& count, Span slow_from);
   void merge(const Side& other);
@@ -70,7 +72,7 @@
   std::optional<int> blocks_until(double wealth) const;
 
  private:
-  double scatter() const;  // variance of a block
+  double scatter() const;                 // variance of a block
   double wealth_at(double blocks) const;  // as its logarithm, if they go on as they did
 
   double allowed_;
@@ -79,21 +81,21 @@
 };
 
 enum class Verdict {
-  going,    // nothing said yet
-  passed,   // shown not to be worse than allowed, in all that can be told
+  going,       // nothing said yet
+  passed,      // shown not to be worse than allowed, in all that can be told
   too_little,  // the soak is over and it is not shown: wait
-  worse,    // stop
-  harm,     // the new ones take from the others: stop
-  trouble,  // old and new fall alike: wait it out
-  at_once   // a rule or invariant broken, a crash, a start that failed, totals that stopped: stop
+  worse,       // stop
+  harm,        // the new ones take from the others: stop
+  trouble,     // old and new fall alike: wait it out
+  at_once      // a rule or invariant broken, a crash, a start that failed, totals that stopped: stop
 };
 const char* name_of(Verdict verdict);
 
 struct Finding {
   Verdict verdict = Verdict::going;
-  std::string what;             // in words: which measure, op type and zone, and by how much
-  std::optional<int> seconds;   // too_little: how much longer at this rate, where that can be said
-  double wealth = 0;            // of the test that spoke
+  std::string what;            // in words: which measure, op type and zone, and by how much
+  std::optional<int> seconds;  // too_little: how much longer at this rate, where that can be said
+  double wealth = 0;           // of the test that spoke
 };
 
 // One key of what is compared apart; "all" pools.
@@ -108,7 +110,8 @@
   // `tests`: how many comparisons the whole rollout may make, by which the chance of a false stop is shared.
   Judge(const Limits& limits, int tests);
 
-  // Before the change: the two sides as they will be, each block. Sets what was different before and what is slow.
+  // Before the change: the two sides as they will be, each block. Sets what was different before and what is
+  // slow.
   void before(const Block& block);
   // From now on the new ones are new; burn-in is left out by who calls.
   void begin() { began_ = true; }
@@ -142,13 +145,15 @@
   struct Base {  // of the difference before
     double count = 0, sum = 0, squares = 0;
     Side old_so_far, new_so_far;
-    double variance() const { return count > 1 ? std::max((squares - sum * sum / count) / (count - 1), 0.0) : 0; }
+    double variance() const {
+      return count > 1 ? std::max((squares - sum * sum / count) / (count - 1), 0.0) : 0;
+    }
   };
   // With each op type over all zones, and all op types.
   static Block pooled(const Block& block);
   struct Test {
     Sequence worse, sound;
-    double offset = 0;  // what was different before, with its uncertainty
+    double offset = 0;            // what was different before, with its uncertainty
     Side old_so_far, new_so_far;  // of a block that is not enough yet
   };
   static double difference(Measure measure, double old_share, double new_share);
--- a/src/rollout/plan.cpp
+++ b/src/rollout/plan.cpp
@@ -26,7 +26,8 @@
     if (stage.count > 0) {
       wanted = static_cast<std::size_t>(stage.count);
     } else if (stage.share > 0) {
-      const auto in_sum = static_cast<std::size_t>(std::ceil(stage.share * static_cast<double>(members.size()) - 1e-9));
+      const auto in_sum =
+          static_cast<std::size_t>(std::ceil(stage.share * static_cast<double>(members.size()) - 1e-9));
       wanted = in_sum > changed.size() ? in_sum - changed.size() : 0;
     }
     std::vector<std::string> its;
@@ -54,7 +55,8 @@
   for (std::size_t i = 0; i < stages.size(); ++i) {
     if (stages[i].empty()) out.push_back("stage " + plan.stages[i].name + " changes nobody");
     changed += stages[i].size();
-    if (plan.stages[i].soak < 5s) out.push_back("stage " + plan.stages[i].name + " has no time to show anything");
+    if (plan.stages[i].soak < 5s)
+      out.push_back("stage " + plan.stages[i].name + " has no time to show anything");
     if (changed == members.size() && i + 1 < stages.size() && !stages[i + 1].empty())
       out.push_back("stage " + plan.stages[i].name + " leaves nobody for the stages after it");
   }
@@ -64,7 +66,8 @@
 }
 
 int comparisons(const Plan& plan, int op_types, int zones) {
-  return std::max(1, static_cast<int>(plan.stages.size()) * kMeasures * (std::max(op_types, 1) * (std::max(zones, 1) + 1) + 1));
+  return std::max(1, static_cast<int>(plan.stages.size()) * kMeasures *
+                         (std::max(op_types, 1) * (std::max(zones, 1) + 1) + 1));
 }
 
 }  // namespace marbledyke::rollout
--- a/src/rollout/plan.h
+++ b/src/rollout/plan.h
@@ -1,5 +1,5 @@
-// A plan of a rolling change: which version, in which stages, how many at a time, how long each has to show itself,
-// and how much worse is too much. Plain data; read from XML by src/rollout/file.
+// A plan of a rolling change: which version, in which stages, how many at a time, how long each has to show
+// itself, and how much worse is too much. Plain data; read from XML by src/rollout/file.
 #pragma once
 
 #include <string>
@@ -24,10 +24,10 @@
   std::string from;  // the folder on each machine that the version is taken from; empty: it is there already
   bool tried = false;  // each keeper tries it, and the way back, before the first stage
   int at_a_time = 1;
-  Span before{30'000'000};        // what both sides do is looked at for so long before the first change
-  Span burn_in{5'000'000};        // after a start, left out on both sides
+  Span before{30'000'000};         // what both sides do is looked at for so long before the first change
+  Span burn_in{5'000'000};         // after a start, left out on both sides
   Span longest_wait{600'000'000};  // for more traffic, or for the end of a trouble; then back
-  Span swap_limit{60'000'000};    // a keeper has carried its order out within this
+  Span swap_limit{60'000'000};     // a keeper has carried its order out within this
   Limits limits;
   std::vector<StagePlan> stages;
 };
@@ -38,8 +38,8 @@
   std::vector<std::string> groups;
 };
 
-// The members that each stage changes, in order. Zones take turns, so that a share is not one zone's. Members that
-// no stage reaches stay as they are.
+// The members that each stage changes, in order. Zones take turns, so that a share is not one zone's. Members
+// that no stage reaches stay as they are.
 std::vector<std::vector<std::string>> stages_of(const Plan& plan, const std::vector<Member>& members);
 
 // What makes no sense in it for these members; empty: all is well.
--- a/src/scenario/scenario.cpp
+++ b/src/scenario/scenario.cpp
@@ -9,12 +9,11 @@
 using namespace std::chrono_literals;
 
 const char* name_of(FaultKind kind) {
-  static constexpr const char* kNames[] = {"crash",     "vanish",    "slow",     "errors",       "pause",
-                                           "lose-in",   "lose-out",  "drain",    "lie-up",       "lie-drain",
-                                           "partition", "list-down", "stampede", "kill-gatherer",
-                                           "pause-gatherer", "swap-gatherer", "list-cut", "path-lost",
-                                           "path-slow", "path-reset", "kill-keeper", "pause-keeper",
-                                           "keeper-clock"};
+  static constexpr const char* kNames[] = {
+      "crash",     "vanish",        "slow",           "errors",        "pause",       "lose-in",
+      "lose-out",  "drain",         "lie-up",         "lie-drain",     "partition",   "list-down",
+      "stampede",  "kill-gatherer", "pause-gatherer", "swap-gatherer", "list-cut",    "path-lost",
+      "path-slow", "path-reset",    "kill-keeper",    "pause-keeper",  "keeper-clock"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/scenario/scenario.h
+++ b/src/scenario/scenario.h
@@ -69,37 +69,39 @@
   int room = 4000;  // multigets and parts in hand
   int most_sends = 3;
   bool copies = true;
-  bool kept = false;  // each under a keeper
+  bool kept = false;                // each under a keeper
   Span further_window{10'000'000};  // the stated budget of further sends
   double further_share = 0.2;
   double further_floor = 20;
 };
 
 enum class FaultKind {
-  crash,         // process gone: connections reset, refused from then on
-  vanish,        // machine gone: nothing is said
-  slow,          // strength: factor on work
-  errors,        // strength: share of parts answered with an error at once
-  pause,         // takes part in nothing, loses nothing
-  lose_in,       // what is sent to it is lost; strength: share
-  lose_out,      // what it answers is lost; strength: share
-  drain,         // listed as draining, then gone; returns cold at the end
-  lie_up,        // dead, and still listed as up
-  lie_drain,     // sound, and listed as draining
-  partition,     // the zone is cut off from the others
-  list_down,     // the list answers nobody
-  stampede,      // strength: factor on the clients' rate
+  crash,          // process gone: connections reset, refused from then on
+  vanish,         // machine gone: nothing is said
+  slow,           // strength: factor on work
+  errors,         // strength: share of parts answered with an error at once
+  pause,          // takes part in nothing, loses nothing
+  lose_in,        // what is sent to it is lost; strength: share
+  lose_out,       // what it answers is lost; strength: share
+  drain,          // listed as draining, then gone; returns cold at the end
+  lie_up,         // dead, and still listed as up
+  lie_drain,      // sound, and listed as draining
+  partition,      // the zone is cut off from the others
+  list_down,      // the list answers nobody
+  stampede,       // strength: factor on the clients' rate
   kill_gatherer,  // restarts at the end; under a keeper, as soon as that starts it
-  // Of gatherers, their keepers, and the paths between them and the others; `first` and `share` count gatherers.
+  // Of gatherers, their keepers, and the paths between them and the others; `first` and `share` count
+  // gatherers.
   pause_gatherer,  // the process stands still
   swap_gatherer,   // its keeper brings another program in force, ordered at the beginning
   list_cut,        // nothing passes between it and the list
   path_lost,       // nothing passes between it and the shard servers
   path_slow,       // that passes so much later; strength: milliseconds each way
-  path_reset,      // connections to shard servers break; strength: kilobytes of answers that each lets through first
-  kill_keeper,     // at once; started again at the end
+  path_reset,   // connections to shard servers break; strength: kilobytes of answers that each lets through
+                // first
+  kill_keeper,  // at once; started again at the end
   pause_keeper,
-  keeper_clock     // strength: the rate of the keeper's clock
+  keeper_clock  // strength: the rate of the keeper's clock
 };
 inline constexpr int kFaultKinds = 23;
 inline constexpr int kServerFaultKinds = 14;  // the first ones, as they are drawn without keepers
--- a/src/servers/servers.cpp
+++ b/src/servers/servers.cpp
@@ -37,7 +37,7 @@
   struct Out {
     Errand errand;
     Stage stage = Stage::queued;
-    Span given_at{};  // its frame was begun, and then: it was written
+    Span given_at{};    // its frame was begun, and then: it was written
     bool over = false;  // ended while its frame was being written, so that a frame 2 must follow
     net::Loop::Timer expiry;
   };
@@ -499,8 +499,8 @@
     std::string bytes;
     const std::size_t place = begin_frame(bytes, link.writing.letter);
     if (link.writing.letter == '1') {
-      // What waited for the connection, or behind another's frame, is not written any more where the list has taken the
-      // server out meanwhile, or the window for its repeat is over.
+      // What waited for the connection, or behind another's frame, is not written any more where the list has
+      // taken the server out meanwhile, or the window for its repeat is over.
       const bool takes_more = up(link.server);
       std::erase_if(link.writing.ids, [&](const std::string& id) {
         const auto out = link.outs.find(id);
@@ -704,8 +704,9 @@
 }
 
 // A link with nothing to do is closed before the server may close it: what is written after that is reset,
-// and may have run as far as anyone can tell. One that is not trusted is closed at once. So is one that is wanted no
-// more while its server leaves a frame half taken whose parts have all had their fate: nobody else would ever end it.
+// and may have run as far as anyone can tell. One that is not trusted is closed at once. So is one that is
+// wanted no more while its server leaves a frame half taken whose parts have all had their fate: nobody else
+// would ever end it.
 void Servers::rest(Link& link) {
   if (link.ended || link.probing || link.race) return;
   if (link.writing.letter != 0 && !wanted(link) &&
--- a/src/sru/front.h
+++ b/src/sru/front.h
@@ -63,7 +63,8 @@
   bool parting_ = false, leaving_ = false;
   std::optional<net::Loop::Timer> swept_;
   Tally tally_;
-  std::shared_ptr<const bool> there_ = std::make_shared<const bool>(true);  // for timers that may outlive this
+  std::shared_ptr<const bool> there_ =
+      std::make_shared<const bool>(true);  // for timers that may outlive this
 };
 
 }  // namespace marbledyke::sru
--- a/src/standins/load.cpp
+++ b/src/standins/load.cpp
@@ -204,15 +204,21 @@
 
 std::string Load::result() const {
   const auto ms = [&](double share) { return static_cast<double>(latencies_.at(share).count()) / 1000; };
-  nlohmann::ordered_json out = {
-      {"due", tally_.due},       {"answered", tally_.answered},
-      {"whole", tally_.whole},   {"pushed_back", tally_.pushed_back},
-      {"failed", tally_.failed}, {"timed_out", tally_.timed_out},
-      {"cut_off", tally_.cut},   {"sent_again", tally_.sent_again},
-      {"connections", tally_.opened},
-      {"p50_ms", ms(0.5)},       {"p90_ms", ms(0.9)},
-      {"p99_ms", ms(0.99)},      {"p99_9_ms", ms(0.999)},
-      {"p99_99_ms", ms(0.9999)}, {"most_ms", static_cast<double>(latencies_.most().count()) / 1000}};
+  nlohmann::ordered_json out = {{"due", tally_.due},
+                                {"answered", tally_.answered},
+                                {"whole", tally_.whole},
+                                {"pushed_back", tally_.pushed_back},
+                                {"failed", tally_.failed},
+                                {"timed_out", tally_.timed_out},
+                                {"cut_off", tally_.cut},
+                                {"sent_again", tally_.sent_again},
+                                {"connections", tally_.opened},
+                                {"p50_ms", ms(0.5)},
+                                {"p90_ms", ms(0.9)},
+                                {"p99_ms", ms(0.99)},
+                                {"p99_9_ms", ms(0.999)},
+                                {"p99_99_ms", ms(0.9999)},
+                                {"most_ms", static_cast<double>(latencies_.most().count()) / 1000}};
   return out.dump();
 }
 
--- a/src/standins/load.h
+++ b/src/standins/load.h
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
-#include "standins/histogram.h"
 #include "net/http.h"
 #include "net/loop.h"
 #include "net/socket.h"
+#include "standins/histogram.h"
 
 namespace marbledyke::standins {
 
--- a/src/standins/machine.h
+++ b/src/standins/machine.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "standins/leaf.h"
 #include "scenario/scenario.h"
+#include "standins/leaf.h"
 
 namespace marbledyke::standins {
 
--- a/src/standins/process.cpp
+++ b/src/standins/process.cpp
@@ -142,7 +142,8 @@
   _exit(127);
 }
 
-void Gatherer::start(const json& configuration, const std::vector<std::string>& more, const std::string& name) {
+void Gatherer::start(const json& configuration, const std::vector<std::string>& more,
+                     const std::string& name) {
   const std::string config = put("config.json", configuration.dump(1) + "\n");
   std::vector<std::string> words{program(name)};
   words.insert(words.end(), more.begin(), more.end());
--- a/src/standins/process.h
+++ b/src/standins/process.h
@@ -17,15 +17,17 @@
 nlohmann::json configuration(const std::string& name, const net::Address& listen,
                              const net::Address& discovery, const std::string& known,
                              nlohmann::json settings);
-// Operators' terms for one op type that may be repeated, "look", and one that may not, "issue": one cell, one zone.
+// Operators' terms for one op type that may be repeated, "look", and one that may not, "issue": one cell, one
+// zone.
 nlohmann::json plain_settings(int shards);
 // Flat terms, with dots and list places as numbers, as the nested object that a configuration holds.
 nlohmann::json nested(const Terms& terms);
 
 // The path of a program of this build: beside this one, or, for tests, one folder up.
 std::string program(const std::string& name);
-// Starts one with these words and, beside its own, this environment; what it says goes to the file `log`. Where
-// signals are taken by signalfd, the child unblocks them again. It ends with this process. Throws std::system_error.
+// Starts one with these words and, beside its own, this environment; what it says goes to the file `log`.
+// Where signals are taken by signalfd, the child unblocks them again. It ends with this process. Throws
+// std::system_error.
 pid_t spawn(std::vector<std::string> words, const std::map<std::string, std::string>& environment,
             const std::string& log);
 
--- a/src/standins/search_server.h
+++ b/src/standins/search_server.h
@@ -8,9 +8,9 @@
 #include <string>
 
 #include "config/commission.h"
-#include "standins/catalogue.h"
 #include "net/loop.h"
 #include "search/desk_front.h"
+#include "standins/catalogue.h"
 
 namespace marbledyke::standins {
 
--- a/src/totals/totals.cpp
+++ b/src/totals/totals.cpp
@@ -95,10 +95,12 @@
 
 Latencies Latencies::read(const nlohmann::json& from) {
   Latencies out;
-  if (!from.is_array() || from.size() > kBuckets + 2) throw config::BadInput("latency: not a list of buckets");
+  if (!from.is_array() || from.size() > kBuckets + 2)
+    throw config::BadInput("latency: not a list of buckets");
   for (const nlohmann::json& pair : from) {
-    if (!pair.is_array() || pair.size() != 2 || !pair[0].is_number_integer() || !pair[1].is_number_unsigned() ||
-        pair[0].get<std::int64_t>() < -1 || pair[0].get<std::int64_t>() > kBuckets)
+    if (!pair.is_array() || pair.size() != 2 || !pair[0].is_number_integer() ||
+        !pair[1].is_number_unsigned() || pair[0].get<std::int64_t>() < -1 ||
+        pair[0].get<std::int64_t>() > kBuckets)
       throw config::BadInput("latency: not a bucket and a count");
     if (!out.held_) out.held_ = std::make_unique<Held>();
     out.held_->of.at(pair[0].get<int>()) += pair[1].get<std::uint64_t>();
@@ -138,10 +140,17 @@
 }
 
 nlohmann::json put(const Count& c) {
-  return {{"taken", c.taken},   {"answered", c.answered},       {"in_budget", c.in_budget},
-          {"whole", c.whole},   {"pushed_back", c.pushed_back}, {"failed", c.failed},
-          {"left", c.left},     {"sends", c.sends},             {"further", c.further},
-          {"importance", c.importance}, {"latency", c.latency.put()}};
+  return {{"taken", c.taken},
+          {"answered", c.answered},
+          {"in_budget", c.in_budget},
+          {"whole", c.whole},
+          {"pushed_back", c.pushed_back},
+          {"failed", c.failed},
+          {"left", c.left},
+          {"sends", c.sends},
+          {"further", c.further},
+          {"importance", c.importance},
+          {"latency", c.latency.put()}};
 }
 
 nlohmann::json put(const Window& w) {
--- a/src/totals/totals.h
+++ b/src/totals/totals.h
@@ -77,8 +77,8 @@
 nlohmann::json put(const Window& window);
 Window read_window(const nlohmann::json& from);  // throws config::BadInput
 
-// The newest windows of one process, in the order in which it closed them, at most kKept. Where its wall clock
-// was set back, what it had said of the seconds to come is dropped: the newer word counts.
+// The newest windows of one process, in the order in which it closed them, at most kKept. Where its wall
+// clock was set back, what it had said of the seconds to come is dropped: the newer word counts.
 class Series {
  public:
   static constexpr std::size_t kKept = 120;
--- a/tests/address_rig.cpp
+++ b/tests/address_rig.cpp
@@ -10,16 +10,16 @@
 #include <random>
 #include <set>
 
-#include "standins/leaf.h"
 #include "log/log.h"
 #include "servers/servers.h"
+#include "standins/leaf.h"
 
 using namespace marbledyke;
 using namespace std::chrono_literals;
 using addresses::Book;
+using net::Family;
 using standins::Door;
 using standins::Leaf;
-using net::Family;
 using Clock = std::chrono::steady_clock;
 
 namespace {
@@ -213,8 +213,9 @@
         never, ran);
   }
   {
-    // The server takes no more of a frame, ever: its parts have their fate in time, the next part does not wait behind
-    // them, and once the list has the server no more, nothing of it is left (seed 4 of the schedules, on a slow machine).
+    // The server takes no more of a frame, ever: its parts have their fate in time, the next part does not
+    // wait behind them, and once the list has the server no more, nothing of it is left (seed 4 of the
+    // schedules, on a slow machine).
     Rig rig;
     const auto at = three_doors(rig);
     rig.list("A", {at[0]});
@@ -224,7 +225,8 @@
     rig.send_large("A", parts, 300ms);
     rig.pass(400ms);
     std::size_t told = 0;
-    for (const servers::Ended& ended : std::exchange(rig.servers.ended, {})) told += ended.fate == Fate::expired ? 1 : 0;
+    for (const servers::Ended& ended : std::exchange(rig.servers.ended, {}))
+      told += ended.fate == Fate::expired ? 1 : 0;
     rig.leaf.set(0, Door::open);
     const servers::Ended next = rig.wait(rig.send("A", true));
     rig.leaf.set(0, Door::stalls);
@@ -234,8 +236,9 @@
     none.whole = true;
     rig.servers.listed(none);
     rig.pass(400ms);
-    std::printf("a frame of 1 MB that is never taken whole: %zu of 16 expired, the next part %s, left over %zu\n", told,
-                name_of(next.fate), rig.servers.connections());
+    std::printf(
+        "a frame of 1 MB that is never taken whole: %zu of 16 expired, the next part %s, left over %zu\n",
+        told, name_of(next.fate), rig.servers.connections());
   }
   one("a loser of the race comes up late", doors(Door::hangs, Door::hangs), false, 8, [](Rig& rig) {
     rig.pass(215ms);
@@ -336,7 +339,8 @@
     names.push_back("S" + std::to_string(i));
     Listed& one = listed[names.back()];
     for (const Family family : {Family::local, Family::ip6, Family::ip4}) {
-      const net::Address address = standins::free_address(family, seed * 100 + static_cast<std::uint32_t>(i) + 10);
+      const net::Address address =
+          standins::free_address(family, seed * 100 + static_cast<std::uint32_t>(i) + 10);
       if (leaves.back()->listen(address) < 0) std::printf("CANNOT LISTEN\n");
       one.addresses.push_back(address);
     }
--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -106,7 +106,8 @@
     while (const auto s = choice_.next_send()) {
       to = s->server;
       const bool bound = s->begun_by < s->not_past;
-      tell("send " + plain(s->part) + " to " + to + (bound ? ", begun by " + std::to_string(s->begun_by / 1ms) + " ms" : ""));
+      tell("send " + plain(s->part) + " to " + to +
+           (bound ? ", begun by " + std::to_string(s->begun_by / 1ms) + " ms" : ""));
     }
     while (const auto server = choice_.next_probe()) tell(std::string("ask ").append(*server));
     while (const auto c = choice_.next_list_call())
--- a/tests/cold_traces.cpp
+++ b/tests/cold_traces.cpp
@@ -1,5 +1,6 @@
-// The sum of what many gatherers send to cold servers, against what the terms let such a server be given in a window: each
-// gatherer decides alone, by the shipped module, in virtual time. Printed are counts over all windows that end in a send.
+// The sum of what many gatherers send to cold servers, against what the terms let such a server be given in a
+// window: each gatherer decides alone, by the shipped module, in virtual time. Printed are counts over all
+// windows that end in a send.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -25,9 +26,9 @@
 
 struct Traffic {
   const char* name;
-  double skew = 0;       // share of all parts that are for the first cell, beyond its even share
-  bool uneven = false;   // one gatherer in five has six times what the others have
-  double surge = 1;      // the load from the start of the cold servers on
+  double skew = 0;      // share of all parts that are for the first cell, beyond its even share
+  bool uneven = false;  // one gatherer in five has six times what the others have
+  double surge = 1;     // the load from the start of the cold servers on
 };
 
 // An answer, or a send that one gatherer is told the end of.
@@ -128,13 +129,16 @@
       const Later it = later.top();
       later.pop();
       turn(it.gatherer);
-      fleet[static_cast<std::size_t>(it.gatherer)].send_ended(it.part, it.send, Fate::returned, span(kWork), {});
+      fleet[static_cast<std::size_t>(it.gatherer)].send_ended(it.part, it.send, Fate::returned, span(kWork),
+                                                              {});
     }
     while (next <= now) {
-      next += span(-std::log(1 - even(chance)) * 1e6 / (parts_a_second * (now >= kStart ? traffic.surge : 1)));
+      next +=
+          span(-std::log(1 - even(chance)) * 1e6 / (parts_a_second * (now >= kStart ? traffic.surge : 1)));
       const int g = whose(chance);
       const bool first = even(chance) < traffic.skew;
-      const int shard = first ? static_cast<int>(even(chance) * kShards / kCells) * kCells : static_cast<int>(even(chance) * kShards);
+      const int shard = first ? static_cast<int>(even(chance) * kShards / kCells) * kCells
+                              : static_cast<int>(even(chance) * kShards);
       turn(g);
       char text[17];
       std::snprintf(text, sizeof text, "%08x00000000", ++number);
@@ -154,8 +158,8 @@
     }
   }
   if (told)
-    std::printf("%3d gatherers, %-30s %5ld windows, %ld beyond N + 2 root N + 2, fullest %.0f of N = %.1f\n", gatherers,
-                traffic.name, windows, over_chance, most, room_then);
+    std::printf("%3d gatherers, %-30s %5ld windows, %ld beyond N + 2 root N + 2, fullest %.0f of N = %.1f\n",
+                gatherers, traffic.name, windows, over_chance, most, room_then);
   return {windows, over_chance};
 }
 
@@ -173,7 +177,8 @@
   for (const int gatherers : {1, 8, 20, 30, 100}) {
     for (const Traffic& traffic : {kSkewed, kAll}) {
       const auto [windows, beyond] = fleet(gatherers, traffic, false);
-      std::printf("%3d gatherers, %-30s %s\n", gatherers, traffic.name, beyond * 100 <= windows ? "chance" : "MORE THAN CHANCE");
+      std::printf("%3d gatherers, %-30s %s\n", gatherers, traffic.name,
+                  beyond * 100 <= windows ? "chance" : "MORE THAN CHANCE");
     }
   }
 }
--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -1,5 +1,6 @@
-// Traces of what crosses: a request, an answer, a reset or a signal that comes between two lines of the gatherer. The
-// order is forced: a step is taken between two turns, or by a timer within one, before the gatherer's own.
+// Traces of what crosses: a request, an answer, a reset or a signal that comes between two lines of the
+// gatherer. The order is forced: a step is taken between two turns, or by a timer within one, before the
+// gatherer's own.
 #include <poll.h>
 #include <sys/resource.h>
 
@@ -21,8 +22,8 @@
   scene.gatherer.loop().at(Span::min() / 2, what);
 }
 
-// A client sends much at once and goes, by a reset that comes after the first answer was written and before the second is:
-// the write that meets it ends the connection in the middle of its own turn.
+// A client sends much at once and goes, by a reset that comes after the first answer was written and before
+// the second is: the write that meets it ends the connection in the middle of its own turn.
 void flood_gone() {
   Scene scene(entry("A", 11));
   Client flood, other;
@@ -40,8 +41,8 @@
 }
 
 std::string list_of(int index, const std::string& entries, bool whole = true) {
-  return "{\"index\":" + std::to_string(index) + ",\"snapshot\":" + (whole ? "true" : "false") + ",\"endpoints\":[" +
-         entries + "]}";
+  return "{\"index\":" + std::to_string(index) + ",\"snapshot\":" + (whole ? "true" : "false") +
+         ",\"endpoints\":[" + entries + "]}";
 }
 
 // Discovery's next call, and when it came.
@@ -63,8 +64,9 @@
   scene.until("an answer", [&] { return client.answered(); });
 }
 
-// A watch falls silent: its answer is missed a quarter of a second after the wait, another call is made beside it, and
-// what that one says holds. What was missed counts as told 2 s after the wait, or at once where the call is given up.
+// A watch falls silent: its answer is missed a quarter of a second after the wait, another call is made
+// beside it, and what that one says holds. What was missed counts as told 2 s after the wait, or at once
+// where the call is given up.
 void list_overdue() {
   Leaf a(11), b(12);
   Discovery discovery(2);
@@ -118,8 +120,8 @@
   goes_to(scene, a, b, "m2");
 }
 
-// What was taken before a planned stop, with time left beyond the end by force, has its final answer before that, 3.7 s after
-// the signal, also where only its second step is out; what ends in time is answered whole.
+// What was taken before a planned stop, with time left beyond the end by force, has its final answer before
+// that, 3.7 s after the signal, also where only its second step is out; what ends in time is answered whole.
 void stop_outlasted() {
   for (const bool ends : {true, false}) {
     Leaf leaf(11);
@@ -142,8 +144,8 @@
   }
 }
 
-// Discovery is away for long and comes back at the worst moment: right after a call that nobody takes up. The next one is
-// made, and its answer read, before 6 s are over.
+// Discovery is away for long and comes back at the worst moment: right after a call that nobody takes up. The
+// next one is made, and its answer read, before 6 s are over.
 void list_back() {
   Leaf a(11), b(12);
   SteppedTime clock;
@@ -249,8 +251,9 @@
   told(scene, discovery, a, b, 13, bad_group + "," + in_z);
 }
 
-// All watches fall silent at once, then a quarter of the servers drain and stay up, under traffic; discovery answers
-// whoever asks anew. Nothing is sent to who drains once the grace after it counts as told is over: 2 s after the wait.
+// All watches fall silent at once, then a quarter of the servers drain and stay up, under traffic; discovery
+// answers whoever asks anew. Nothing is sent to who drains once the grace after it counts as told is over: 2
+// s after the wait.
 void silent_and_draining() {
   for (const bool pushed : {false, true}) {
     std::list<Leaf> leaves;
@@ -294,13 +297,14 @@
       client.text.clear();
       scene.pass(5ms);
     }
-    say(std::string(pushed ? "pushed: " : "asked: ") + (to_it > 20 ? "it had its part of the traffic" : "IT HAD NONE") +
+    say(std::string(pushed ? "pushed: " : "asked: ") +
+        (to_it > 20 ? "it had its part of the traffic" : "IT HAD NONE") +
         (last < silent + 12s + 500ms ? ", and nothing past the grace" : ", AND MORE PAST THE GRACE"));
   }
 }
 
-// A process is ready, and serves by the list that it was given, while discovery is away, or takes its call and says
-// nothing.
+// A process is ready, and serves by the list that it was given, while discovery is away, or takes its call
+// and says nothing.
 void ready_without_list() {
   for (const bool hangs : {false, true}) {
     Leaf leaf(11);
@@ -349,7 +353,8 @@
   say("and " + kept() + " with thirty servers");
 }
 
-// A client that closes behind more than this side will hold has gone all the same; so has one that ends only its side.
+// A client that closes behind more than this side will hold has gone all the same; so has one that ends only
+// its side.
 void client_gone_unread() {
   Leaf leaf(11);
   SteppedTime clock;
@@ -372,8 +377,8 @@
   }
 }
 
-// Who waits to be accepted where nobody else comes in, until it is emptied: then a connect that was under way comes up
-// when its machine tries again, a second after.
+// Who waits to be accepted where nobody else comes in, until it is emptied: then a connect that was under way
+// comes up when its machine tries again, a second after.
 struct FullListener {
   explicit FullListener(int last) : listener(net::listen_on(*net::parse_address(address(last)))) {
     if (listen(listener.get(), 0) != 0) say("CANNOT LISTEN");
@@ -394,8 +399,8 @@
   std::string text;
 };
 
-// A client leaves while its part waits for a connection to come up, and the terms let nothing be cancelled that was sent:
-// it is not written when the connection is there.
+// A client leaves while its part waits for a connection to come up, and the terms let nothing be cancelled
+// that was sent: it is not written when the connection is there.
 void client_gone_dialling() {
   FullListener full(11);
   Scene scene(entry("A", 11), "20000000", "30000000", "5000", {{R"("cancel":true)", R"("cancel":false)"}});
@@ -408,11 +413,12 @@
   full.empty();
   other.send("m2", "draft", kOne);
   scene.until("a frame", [&] { return full.heard().find("m") != std::string::npos; });
-  say(full.heard().find("m1") == std::string::npos ? "the part of who left is not written" : "WRITTEN FOR NOBODY");
+  say(full.heard().find("m1") == std::string::npos ? "the part of who left is not written"
+                                                   : "WRITTEN FOR NOBODY");
 }
 
-// The window of a deduped part is over while its repeat waits for a connection: the repeat is not written, and ends as never
-// sent; what shares its call is.
+// The window of a deduped part is over while its repeat waits for a connection: the repeat is not written,
+// and ends as never sent; what shares its call is.
 void window_over() {
   FullListener full(11);
   const Scene scene(entry("A", 11));
@@ -443,10 +449,12 @@
   until([&] { return full.heard().find("other.1") != std::string::npos; });
   say(full.heard().find("other.1") != std::string::npos ? "the other part is written" : "NOTHING IS WRITTEN");
   say(full.heard().find("repeat.1") == std::string::npos ? "the repeat is not" : "THE REPEAT IS WRITTEN");
-  for (const servers::Ended& one : servers.ended) say(one.fate == Fate::unused ? "it ends as never sent" : "IT ENDS OTHERWISE");
+  for (const servers::Ended& one : servers.ended)
+    say(one.fate == Fate::unused ? "it ends as never sent" : "IT ENDS OTHERWISE");
 }
 
-// A close in the very round in which an answer frees a part, and one while a part rests before it goes round again.
+// A close in the very round in which an answer frees a part, and one while a part rests before it goes round
+// again.
 void client_gone_in_round() {
   Leaf leaf(11);
   SteppedTime clock;
@@ -468,8 +476,9 @@
   say("frames after that: " + std::to_string(leaf.got.size()));
 }
 
-// A planned stop ends resting connections in order: a request that comes between the last look and the end is not taken up,
-// and does not reset the connection. Who has only just come gets the time to ask, and half a request is answered.
+// A planned stop ends resting connections in order: a request that comes between the last look and the end is
+// not taken up, and does not reset the connection. Who has only just come gets the time to ask, and half a
+// request is answered.
 void stop_crossed() {
   Leaf leaf(11);
   SteppedTime clock;
@@ -483,7 +492,8 @@
   scene.answered(resting, "client");
   scene.gatherer.leave();
   scene.gatherer.leave();  // SIGTERM twice
-  // After what has come in was read and right behind the gatherer's own timer, in the turn that ends the resting ones.
+  // After what has come in was read and right behind the gatherer's own timer, in the turn that ends the
+  // resting ones.
   scene.gatherer.loop().at(scene.gatherer.loop().now() + 400ms, [&] { resting.send("m2", "issue", kOne); });
   scene.pass(300ms);
   Client fresh;
@@ -501,8 +511,9 @@
   scene.until("the end", [&] { return !scene.running; });
 }
 
-// What nobody answers has its final answer well before the end by force, 3.7 s after the signal; the module's last moment,
-// the wait for sends that are under way and the write all come before that. Who then does not close is not waited for.
+// What nobody answers has its final answer well before the end by force, 3.7 s after the signal; the module's
+// last moment, the wait for sends that are under way and the write all come before that. Who then does not
+// close is not waited for.
 void stop_in_time() {
   Leaf leaf(11);
   SteppedTime clock;
@@ -521,7 +532,8 @@
   say(clock.steady() - told < 3700ms ? "ended before it" : "ENDED BY FORCE");
 }
 
-// A discovery whose own process has no descriptor to spare either: it gives one up for each call that comes in.
+// A discovery whose own process has no descriptor to spare either: it gives one up for each call that comes
+// in.
 struct CrowdedDiscovery : Discovery {
   using Discovery::Discovery;
   void hear() override {
@@ -535,8 +547,8 @@
   std::list<net::Descriptor> ballast;
 };
 
-// Discovery goes, and clients take every descriptor that there is, that of the call to it as well: it is called again all
-// the same.
+// Discovery goes, and clients take every descriptor that there is, that of the call to it as well: it is
+// called again all the same.
 void descriptors_taken() {
   Leaf leaf(11);
   CrowdedDiscovery discovery(2);
@@ -552,7 +564,8 @@
     scene.until("an answer", [&] { return client.answered(); });
   }
   std::list<net::Descriptor> late;
-  for (int i = 0; i < 10; ++i) late.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  for (int i = 0; i < 10; ++i)
+    late.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   discovery.fill();
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
@@ -574,14 +587,15 @@
   asked(scene, discovery, clock.steady());
 }
 
-// The process has no descriptor left, and those held back for refusals are with clients that have only just come and say
-// nothing: who comes next is taken in as soon as these have had their time to ask, though nothing is told of it again and
-// nobody ends. All of them are refused or answered, none is reset.
+// The process has no descriptor left, and those held back for refusals are with clients that have only just
+// come and say nothing: who comes next is taken in as soon as these have had their time to ask, though
+// nothing is told of it again and nobody ends. All of them are refused or answered, none is reset.
 void accepted_late() {
   SteppedTime clock;
   Scene scene(entry("A", 11), clock);
   {
-    // All kinds of watchers are called once before: the sanitizer's first look at each needs a descriptor itself.
+    // All kinds of watchers are called once before: the sanitizer's first look at each needs a descriptor
+    // itself.
     Client before;
     before.wire.put("GET /healthz HTTP/1.1\r\n\r\n");
     scene.answered(before, "a client before");
@@ -606,16 +620,18 @@
   say(clock.steady() - room < 200ms ? "within 0.2 s" : "LATE");
   ballast.clear();
   scene.until("the end of those who said nothing", [&] {
-    return std::all_of(silent.begin(), silent.end(), [](Client& one) { return one.answered() || one.wire.ended; });
+    return std::all_of(silent.begin(), silent.end(),
+                       [](Client& one) { return one.answered() || one.wire.ended; });
   });
   say(std::none_of(silent.begin(), silent.end(), [](const Client& one) { return one.wire.cut; })
           ? "none of the silent ones is cut"
           : "CUT");
 }
 
-// A request that crossed the end of its connection comes once more on a new one, under the same id: it was never read, so
-// nothing of it is in the way. One whose id still has a part out is turned away and sent nowhere, since its answers could not
-// be told apart, and a part that must not run twice would; after that the id is free.
+// A request that crossed the end of its connection comes once more on a new one, under the same id: it was
+// never read, so nothing of it is in the way. One whose id still has a part out is turned away and sent
+// nowhere, since its answers could not be told apart, and a part that must not run twice would; after that
+// the id is free.
 void same_id_again() {
   Leaf leaf(11);
   SteppedTime clock;
@@ -675,28 +691,27 @@
 int main(int count, char** words) {
   if (count != 2) return 2;
   log::open(log::Level::error, log::Form::plain, "test");
-  const std::pair<const char*, void (*)()> cases[] = {
-      {"flood_gone", flood_gone},
-      {"list_overdue", list_overdue},
-      {"list_reset", list_reset},
-      {"list_back", list_back},
-      {"list_pushed_reset", list_pushed_reset},
-      {"list_same_turn", list_same_turn},
-      {"list_unreadable_entry", list_unreadable_entry},
-      {"silent_and_draining", silent_and_draining},
-      {"ready_without_list", ready_without_list},
-      {"room_follows_list", room_follows_list},
-      {"client_gone_unread", client_gone_unread},
-      {"client_gone_dialling", client_gone_dialling},
-      {"window_over", window_over},
-      {"client_gone_in_round", client_gone_in_round},
-      {"stop_crossed", stop_crossed},
-      {"stop_in_time", stop_in_time},
-      {"stop_outlasted", stop_outlasted},
-      {"descriptors_taken", descriptors_taken},
-      {"accepted_late", accepted_late},
-      {"same_id_again", same_id_again},
-      {"long_turn", long_turn}};
+  const std::pair<const char*, void (*)()> cases[] = {{"flood_gone", flood_gone},
+                                                      {"list_overdue", list_overdue},
+                                                      {"list_reset", list_reset},
+                                                      {"list_back", list_back},
+                                                      {"list_pushed_reset", list_pushed_reset},
+                                                      {"list_same_turn", list_same_turn},
+                                                      {"list_unreadable_entry", list_unreadable_entry},
+                                                      {"silent_and_draining", silent_and_draining},
+                                                      {"ready_without_list", ready_without_list},
+                                                      {"room_follows_list", room_follows_list},
+                                                      {"client_gone_unread", client_gone_unread},
+                                                      {"client_gone_dialling", client_gone_dialling},
+                                                      {"window_over", window_over},
+                                                      {"client_gone_in_round", client_gone_in_round},
+                                                      {"stop_crossed", stop_crossed},
+                                                      {"stop_in_time", stop_in_time},
+                                                      {"stop_outlasted", stop_outlasted},
+                                                      {"descriptors_taken", descriptors_taken},
+                                                      {"accepted_late", accepted_late},
+                                                      {"same_id_again", same_id_again},
+                                                      {"long_turn", long_turn}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
       run();
--- a/tests/emulator_traces.cpp
+++ b/tests/emulator_traces.cpp
@@ -164,7 +164,8 @@
       felt = seen[What::stalled] == 1 && seen[What::resumed] == 1 && lost > 0.02;
       how = "one stands still, its clients wait in vain";
     } else if (kind == FaultKind::swap_gatherer) {
-      felt = by_followers > 100 && seen[What::died] == 1 && std::abs(lost) < 0.02;  // its former process ends in order
+      felt = by_followers > 100 && seen[What::died] == 1 &&
+             std::abs(lost) < 0.02;  // its former process ends in order
       how = "another process sends from then on, nothing is lost";
     } else if (kind == FaultKind::list_cut) {
       felt = std::abs(lost) < 0.02 && r.digest != base.digest;
--- a/tests/gatherer_traces.cpp
+++ b/tests/gatherer_traces.cpp
@@ -172,8 +172,8 @@
   sent("m4");
 }
 
-// A part waits for a connection to a server that then drains: it must not wait for that to come up or fail, but
-// ends as never sent and goes to another, though it may not be repeated.
+// A part waits for a connection to a server that then drains: it must not wait for that to come up or fail,
+// but ends as never sent and goes to another, though it may not be repeated.
 void drains_while_dialled() {
   Leaf b(12);
   Discovery discovery(2);
@@ -240,10 +240,10 @@
   say("connections opened: " + std::to_string(leaf.opened));
 }
 
-// A call that says nothing is given up, and made anew, early enough for the next one to be answered before what it would
-// have said counts as told, 6 s after discovery had it; and not before discovery would have refused it itself, at 2 s. At
-// full size a watch that fell silent was given up just when its news counted, and its gatherers sent to servers that
-// drained for longer than the grace.
+// A call that says nothing is given up, and made anew, early enough for the next one to be answered before
+// what it would have said counts as told, 6 s after discovery had it; and not before discovery would have
+// refused it itself, at 2 s. At full size a watch that fell silent was given up just when its news counted,
+// and its gatherers sent to servers that drained for longer than the grace.
 void list_silent() {
   Leaf a(11);
   Discovery discovery(2);
@@ -255,7 +255,8 @@
   const auto from = std::chrono::steady_clock::now();
   scene.until("another call", [&] { return !discovery.asked.empty(); });
   const auto took = std::chrono::steady_clock::now() - from;
-  say(std::string("and, silent, again ") + (took < 3500ms ? "within 3.5 s" : "LATE") + (took > 2s ? "" : ", TOO SOON"));
+  say(std::string("and, silent, again ") + (took < 3500ms ? "within 3.5 s" : "LATE") +
+      (took > 2s ? "" : ", TOO SOON"));
 }
 
 // A new configuration names another place for the list while a call waits at the old one: it is asked at
--- a/tests/keeper_rig.cpp
+++ b/tests/keeper_rig.cpp
@@ -1,5 +1,6 @@
 // Keepers and gatherers as processes of their own, faults between and under them. Each line of the trace is a
-// verdict that is the same every time; what is measured goes to standard error, with MARBLEDYKE_RIG_FIGURES set.
+// verdict that is the same every time; what is measured goes to standard error, with MARBLEDYKE_RIG_FIGURES
+// set.
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -65,7 +66,8 @@
   say("nothing runs before an order", Site::leader(site.status(m)) < 0);
   say("a version is taken and brought in force", site.bring(m, "v1", {}));
   say("the gatherer answers its health call", serves(site, m));
-  say("asked for nothing yet, and says so", site.status(m)["processes"][0].value("answers", "") == "not asked");
+  say("asked for nothing yet, and says so",
+      site.status(m)["processes"][0].value("answers", "") == "not asked");
 
   standins::Load clients(loop, m.listen, load(200, 4));
   rig::run_for(loop, 1500ms);
@@ -87,8 +89,9 @@
   say("one end is counted", after.value("ends", 0) == 1 && after.value("starts", 0) == 2);
 
   rig::Process second;
-  second.start({rig::program("marbledyke-keeper"), "--folder", m.folder, "--control", "127.0.0.1:1", "--name", "x"},
-               {}, m.log + ".second");
+  second.start(
+      {rig::program("marbledyke-keeper"), "--folder", m.folder, "--control", "127.0.0.1:1", "--name", "x"},
+      {}, m.log + ".second");
   rig::run_until(loop, 3s, [&] { return second.ended().has_value(); });
   std::ifstream said(m.log + ".second");
   std::string line;
@@ -105,11 +108,15 @@
   say("and has adopted the gatherer that runs", Site::leader(site.status(m)) == adopted);
   kill(adopted, SIGKILL);
   const double again = seconds_of(
-      loop, [&] { return Site::leader(site.status(m)) > 0 && Site::leader(site.status(m)) != adopted && serves(site, m); },
+      loop,
+      [&] {
+        return Site::leader(site.status(m)) > 0 && Site::leader(site.status(m)) != adopted && serves(site, m);
+      },
       5s);
   say("an adopted one that is killed is replaced", again >= 0);
   site.order(m, "stop");
-  say("a stop ends it in order", outcome(site.settled(m)) == "done, in force v1" && site.gatherers(m).empty());
+  say("a stop ends it in order",
+      outcome(site.settled(m)) == "done, in force v1" && site.gatherers(m).empty());
   site.order(m, "run");
   say("and a run starts it", outcome(site.settled(m)) == "done, in force v1" && serves(site, m));
   m.keeper.signal(SIGTERM);
@@ -186,7 +193,8 @@
     std::printf("%-14s %s; v1 answers again: %s\n", flaw, outcome(now).c_str(), back ? "yes" : "NO");
   }
   {
-    // One that ends a while after each start, with nothing to go back to: waits grow, then it says it gives up.
+    // One that ends a while after each start, with nothing to go back to: waits grow, then it says it gives
+    // up.
     net::Loop loop;
     Site site(loop, {});
     Machine& m = site.machine(0);
@@ -217,11 +225,12 @@
     int nth;
     const char* does;  // what is being done: take, use
   };
-  const Case cases[] = {{"take.part", 2, "take"},     {"take.synced", 1, "take"},  {"take.renamed", 1, "take"},
-                        {"state.before", 2, "take"},  {"order.kept", 1, "use"},    {"state.before", 1, "use"},
-                        {"link.before", 1, "use"},    {"link.after", 1, "use"},    {"begin.before", 1, "use"},
-                        {"begin.after", 1, "use"},    {"child.born", 1, "use"},    {"term.after", 1, "use"},
-                        {"state.before", 2, "use"},   {"state.after", 2, "use"},   {"hup.before", 1, "settings"}};
+  const Case cases[] = {
+      {"take.part", 2, "take"},    {"take.synced", 1, "take"}, {"take.renamed", 1, "take"},
+      {"state.before", 2, "take"}, {"order.kept", 1, "use"},   {"state.before", 1, "use"},
+      {"link.before", 1, "use"},   {"link.after", 1, "use"},   {"begin.before", 1, "use"},
+      {"begin.after", 1, "use"},   {"child.born", 1, "use"},   {"term.after", 1, "use"},
+      {"state.before", 2, "use"},  {"state.after", 2, "use"},  {"hup.before", 1, "settings"}};
   for (const Case& one : cases) {
     net::Loop loop;
     rig::SiteOptions options;
@@ -242,8 +251,11 @@
       fine = fine && outcome(site.settled(m)) == "done, in force v1";
     }
     site.bend(m, {{"point", {{"name", one.point}, {"nth", one.nth}}}});
-    const json body = {{"epoch", 1}, {"number", ++m.number_of_order}, {"order", taking ? "take" : "use"},
-                       {"version", "v2"}, {"from", from}};
+    const json body = {{"epoch", 1},
+                       {"number", ++m.number_of_order},
+                       {"order", taking ? "take" : "use"},
+                       {"version", "v2"},
+                       {"from", from}};
     rig::call(loop, m.control, "POST", "/order", body.dump(), 500ms);
     // A child that is ended at a point is not the keeper: what the keeper makes of it counts then.
     const bool ended = rig::run_until(loop, 3s, [&] { return m.keeper.ended().has_value(); });
@@ -319,11 +331,14 @@
     say("a gatherer that is killed is replaced all the same", [&] {
       const pid_t was = Site::leader(site.status(m));
       kill(was, SIGKILL);
-      return rig::run_until(site.loop(), 5s, [&] { return Site::leader(site.status(m)) > 0 && Site::leader(site.status(m)) != was; });
+      return rig::run_until(site.loop(), 5s, [&] {
+        return Site::leader(site.status(m)) > 0 && Site::leader(site.status(m)) != was;
+      });
     }());
     say("and it is said that state is not written", site.status(m).contains("write_wrong"));
     site.bend(m, json::object());
-    say("written once it can be", rig::run_until(site.loop(), 3s, [&] { return !site.status(m).contains("write_wrong"); }));
+    say("written once it can be",
+        rig::run_until(site.loop(), 3s, [&] { return !site.status(m).contains("write_wrong"); }));
   });
   with("torn: the process ends within a write of its state", [&](Site& site, Machine& m) {
     site.bend(m, {{"disk", {{"tears", 40}}}});
@@ -338,7 +353,8 @@
     site.bend(m, {{"disk", {{"lies", true}}}});
     site.order(m, "take", "v2", {{"from", site.recipe(m, "v2", v2)}});
     const json now = site.settled(m);
-    say("a version that did not get there is refused", now.value("outcome", "") == "refused" && now["versions"].size() == 1);
+    say("a version that did not get there is refused",
+        now.value("outcome", "") == "refused" && now["versions"].size() == 1);
     say("the keeper starts over what is left", restart(site, m));
     const json after = site.status(m);
     say("it says that its state was not usable, and what is linked is in force",
@@ -359,7 +375,8 @@
       how(text);
       std::ofstream(m.folder + "/state") << text;
       site.start_keeper(m);
-      return site.keeper_up(m) && site.status(m).contains("state_wrong") && site.status(m).value("in_force", "") == "v1";
+      return site.keeper_up(m) && site.status(m).contains("state_wrong") &&
+             site.status(m).value("in_force", "") == "v1";
     };
     say("another format: not read, v1 stays in force",
         spoil([](std::string& text) { text.replace(text.find("\"format\":1"), 10, "\"format\":7"); }));
@@ -386,8 +403,9 @@
     rig::Process one;
     const std::string log = site.folder() + "/refused.log";
     unlink(log.c_str());
-    one.start({rig::program("marbledyke-keeper"), "--folder", site.folder() + "/x", "--control", at, "--name", "x"},
-              {}, log);
+    one.start(
+        {rig::program("marbledyke-keeper"), "--folder", site.folder() + "/x", "--control", at, "--name", "x"},
+        {}, log);
     rig::run_until(loop, 3s, [&] { return one.ended().has_value(); });
     std::ifstream in(log);
     std::string line;
@@ -405,7 +423,8 @@
   const auto raw = [&](const char* what, const std::string& bytes, Span limit = 4s) {
     const Span from = loop.now();
     const std::string answer = rig::raw_call(loop, m.control, bytes, limit);
-    std::printf("%-34s %s%s\n", what, status_of(answer).c_str(), loop.now() - from < limit ? "" : ", TOO LATE");
+    std::printf("%-34s %s%s\n", what, status_of(answer).c_str(),
+                loop.now() - from < limit ? "" : ", TOO LATE");
   };
   const std::string post = "POST /order HTTP/1.1\r\nHost: k\r\nConnection: close\r\n";
   raw("not HTTP", "hello\r\n\r\n");
@@ -418,14 +437,16 @@
   raw("a head of 1 MB", "GET /status HTTP/1.1\r\nX: " + std::string(1'000'000, 'x') + "\r\n\r\n");
   std::string deep = "{\"epoch\":1,\"number\":1,\"order\":";
   for (int i = 0; i < 20'000; ++i) deep += '[';
-  raw("an order nested 20,000 deep", post + "Content-Length: " + std::to_string(deep.size()) + "\r\n\r\n" + deep);
+  raw("an order nested 20,000 deep",
+      post + "Content-Length: " + std::to_string(deep.size()) + "\r\n\r\n" + deep);
   std::vector<net::Descriptor> held;
   for (int i = 0; i < 100; ++i) held.push_back(net::start_connect(m.control));
   rig::run_for(loop, 200ms);
   held.clear();
   say("after 100 idle connections it answers", site.keeper_up(m));
   const Answer status = rig::call(loop, m.control, "GET", "/status");
-  say("it answers with what runs and since when", status.body.contains("processes") && status.body.contains("in_force"));
+  say("it answers with what runs and since when",
+      status.body.contains("processes") && status.body.contains("in_force"));
 }
 
 // ---- standing still ----
@@ -444,7 +465,8 @@
                              std::chrono::system_clock::now().time_since_epoch())
                              .count();
     // Two orders wait in its socket: one whose time will be over, one without a time.
-    const json late = {{"epoch", 1}, {"number", ++m.number_of_order}, {"order", "stop"}, {"not_after_ms", unix_ms + 500}};
+    const json late = {
+        {"epoch", 1}, {"number", ++m.number_of_order}, {"order", "stop"}, {"not_after_ms", unix_ms + 500}};
     rig::call(loop, m.control, "POST", "/order", late.dump(), 200ms);
     rig::run_for(loop, 4s);
     m.keeper.signal(SIGCONT);
@@ -464,7 +486,11 @@
     const pid_t was = Site::leader(site.status(m));
     kill(was, SIGSTOP);
     const double back = seconds_of(
-        loop, [&] { return Site::leader(site.status(m)) > 0 && Site::leader(site.status(m)) != was && serves(site, m); }, 10s);
+        loop,
+        [&] {
+          return Site::leader(site.status(m)) > 0 && Site::leader(site.status(m)) != was && serves(site, m);
+        },
+        10s);
     figure("SIGSTOP of a gatherer until another serves (2 s silent, 1.5 s hung), s", back);
     say("a gatherer that stands still is ended by force, another serves", back >= 0);
   }
@@ -482,7 +508,8 @@
     site.order(m, "use", "v2");
     m.keeper.signal(SIGTERM);
     rig::run_until(loop, 10s, [&] { return m.keeper.ended().has_value(); });
-    say("SIGTERM in the middle of a swap: down in order, no gatherer left", m.keeper.ended() == 0 && site.gatherers(m).empty());
+    say("SIGTERM in the middle of a swap: down in order, no gatherer left",
+        m.keeper.ended() == 0 && site.gatherers(m).empty());
     site.start_keeper(m);
     site.keeper_up(m);
     const json now = site.settled(m);
@@ -575,7 +602,8 @@
   rig::Way way;
   way.reset_after = 100;
   m.control_relay->set({}, way);
-  say("reset within an answer: the tool sees none", rig::call(loop, m.control, "GET", "/status", "", 500ms).status == 0);
+  say("reset within an answer: the tool sees none",
+      rig::call(loop, m.control, "GET", "/status", "", 500ms).status == 0);
   way = {};
   way.trickle = 50;
   m.control_relay->set(way, {});
@@ -617,8 +645,9 @@
   signal(SIGPIPE, SIG_IGN);
   setvbuf(stdout, nullptr, _IOLBF, 0);
   const std::map<std::string, std::function<void()>> cases{
-      {"life", life},       {"swaps", swaps},     {"bad_versions", bad_versions}, {"points", points}, {"disks", disks},
-      {"control", control}, {"pauses", pauses},   {"paths", paths}};
+      {"life", life},     {"swaps", swaps}, {"bad_versions", bad_versions},
+      {"points", points}, {"disks", disks}, {"control", control},
+      {"pauses", pauses}, {"paths", paths}};
   const auto at = count == 2 ? cases.find(words[1]) : cases.end();
   if (at == cases.end()) return 2;
   try {
--- a/tests/keeper_traces.cpp
+++ b/tests/keeper_traces.cpp
@@ -17,12 +17,11 @@
 using emulator::Behaviour;
 using emulator::EmulatedKeeper;
 using emulator::EmulatedVersion;
-using keeper::Kind;
 using keeper::Kept;
+using keeper::Kind;
 using keeper::Order;
 using keeper::Outcome;
 
-
 namespace {
 
 Order order(Kind kind, std::uint64_t number, const std::string& version = {}, Span trial = {},
@@ -85,7 +84,8 @@
         R"({"epoch":1,"number":2,"order":"use","version":"../v2"})",
         R"({"epoch":1,"number":2,"order":"use","version":".part-v2"})",
         R"({"epoch":1,"number":2,"order":"take","version":"v2","from":"here"})",
-        R"({"epoch":1,"number":2,"order":"run","trial_ms":5})", R"({"epoch":1,"number":2.5,"order":"run"})"}) {
+        R"({"epoch":1,"number":2,"order":"run","trial_ms":5})",
+        R"({"epoch":1,"number":2.5,"order":"run"})"}) {
     try {
       std::printf("%s\n", keeper::put(keeper::read_order(config::parse(text))).dump().c_str());
     } catch (const config::BadInput& wrong) {
@@ -93,9 +93,9 @@
     }
   }
   std::puts("-- where a control address may be");
-  for (const char* text : {"127.0.0.1:7700", "127.9.0.1:7700", "10.1.2.3:7700", "172.16.0.1:1", "172.32.0.1:1",
-                           "192.168.3.4:1", "8.8.8.8:1", "[::1]:7700", "[fd00::1]:7700", "[2001:db8::1]:7700",
-                           "unix:/run/k.sock"}) {
+  for (const char* text :
+       {"127.0.0.1:7700", "127.9.0.1:7700", "10.1.2.3:7700", "172.16.0.1:1", "172.32.0.1:1", "192.168.3.4:1",
+        "8.8.8.8:1", "[::1]:7700", "[fd00::1]:7700", "[2001:db8::1]:7700", "unix:/run/k.sock"}) {
     const std::string why = keeper::not_private(*net::parse_address(text));
     std::printf("%-20s %s\n", text, why.empty() ? "may be" : why.c_str());
   }
@@ -145,9 +145,10 @@
     flipped += refused(damaged) ? 1 : 0;
     taken_anyway += wrongly(damaged) ? 1 : 0;
   }
-  std::printf("torn at each byte: refused %s; a bit flipped: refused or the same %s; another state taken: %d\n",
-              torn == static_cast<int>(text.size()) ? "always" : "NOT ALWAYS",
-              flipped >= static_cast<int>(text.size() * 8) - 16 ? "always" : "NOT ALWAYS", taken_anyway);
+  std::printf(
+      "torn at each byte: refused %s; a bit flipped: refused or the same %s; another state taken: %d\n",
+      torn == static_cast<int>(text.size()) ? "always" : "NOT ALWAYS",
+      flipped >= static_cast<int>(text.size() * 8) - 16 ? "always" : "NOT ALWAYS", taken_anyway);
   std::string newer = text;
   newer.replace(newer.find("\"format\":1"), 10, "\"format\":2");
   try {
@@ -158,13 +159,15 @@
   }
 }
 
-// Merging is exact: a stream of multigets counted by one gatherer, or spread over seven and merged in any order.
+// Merging is exact: a stream of multigets counted by one gatherer, or spread over seven and merged in any
+// order.
 void counts() {
   std::mt19937 chance(5);
   totals::Window whole;
   std::vector<totals::Window> parts(7);
   for (int i = 0; i < 20'000; ++i) {
-    const Span took(static_cast<std::int64_t>(std::exp(4 + 10 * std::generate_canonical<double, 53>(chance))));
+    const Span took(
+        static_cast<std::int64_t>(std::exp(4 + 10 * std::generate_canonical<double, 53>(chance))));
     const std::string op = chance() % 3 == 0 ? "issue" : "look";
     for (totals::Window* window : {&whole, &parts[chance() % 7]}) {
       totals::Count& count = window->by_op_type[op];
@@ -180,7 +183,8 @@
     back.merge(totals::read_window(nlohmann::json::parse(totals::put(parts[parts.size() - 1 - i]).dump())));
   }
   std::printf("seven merged are one: %s; in the other order, written and read: %s\n",
-              forth.by_op_type == whole.by_op_type ? "yes" : "NO", back.by_op_type == whole.by_op_type ? "yes" : "NO");
+              forth.by_op_type == whole.by_op_type ? "yes" : "NO",
+              back.by_op_type == whole.by_op_type ? "yes" : "NO");
   const totals::Count all = whole.all();
   std::printf("%llu, median %lld us, 99th %lld us\n", static_cast<unsigned long long>(all.latency.count()),
               static_cast<long long>(all.latency.at(0.5).count()),
@@ -192,8 +196,8 @@
     w.by_op_type["look"].taken = 1;
     series.add(w);
   }
-  std::printf("300 windows: %zu kept, %llu counted since the start, 10 s hold %llu\n", series.windows().size(),
-              static_cast<unsigned long long>(series.since_start().all().taken),
+  std::printf("300 windows: %zu kept, %llu counted since the start, 10 s hold %llu\n",
+              series.windows().size(), static_cast<unsigned long long>(series.since_start().all().taken),
               static_cast<unsigned long long>(series.merged(290'000, 300'000).all().taken));
   totals::Window earlier;
   earlier.start_ms = 250'000;  // the clock was set back by 50 s
@@ -264,8 +268,8 @@
     std::printf("         outcome %s%s%s; in force %s, serves %s, %d processes, %.1f s served%s%s\n",
                 keeper::name_of(kept.outcome), kept.why.empty() ? "" : ": ", kept.why.c_str(),
                 kept.in_force.c_str(), keeper_.serving_version().c_str(), keeper_.processes(),
-                static_cast<double>(keeper_.served().count()) / 1e6, keeper_.broken().empty() ? "" : "; BROKEN: ",
-                keeper_.broken().c_str());
+                static_cast<double>(keeper_.served().count()) / 1e6,
+                keeper_.broken().empty() ? "" : "; BROKEN: ", keeper_.broken().c_str());
   }
   EmulatedKeeper& keeper() { return keeper_; }
   bool quiet = false;
@@ -426,8 +430,8 @@
   }
 }
 
-// Killed before each single act of a swap, and started again: it always ends with one process, of the version that
-// its state names, and the order has an outcome.
+// Killed before each single act of a swap, and started again: it always ends with one process, of the version
+// that its state names, and the order has an outcome.
 void killed_at_each_act() {
   for (const char* target : {"settings", "good2", "refused", "refused2", "ends-at-once", "wants-start"}) {
     std::map<std::string, int> ends;
@@ -450,8 +454,8 @@
       k.kill_at_act(-1);
       p.until(100s);
       const Kept& kept = k.kept();
-      std::string end = std::string(keeper::name_of(kept.outcome)) + ", in force " + kept.in_force + ", serves " +
-                        k.serving_version() + ", " + std::to_string(k.processes()) + " process";
+      std::string end = std::string(keeper::name_of(kept.outcome)) + ", in force " + kept.in_force +
+                        ", serves " + k.serving_version() + ", " + std::to_string(k.processes()) + " process";
       if (!k.broken().empty()) end += ", BROKEN: " + k.broken();
       if (k.linked() != kept.in_force) end += ", LINKED " + k.linked();
       ends[end] += 1;
@@ -461,8 +465,8 @@
   }
 }
 
-// Drawn lives: orders, ends, pauses and full disks at random. Afterwards, left alone, it comes to rest: one process
-// that serves what its state names, or none where none is wanted.
+// Drawn lives: orders, ends, pauses and full disks at random. Afterwards, left alone, it comes to rest: one
+// process that serves what its state names, or none where none is wanted.
 void random_lives() {
   const std::map<std::string, EmulatedVersion> all = versions();
   std::vector<std::string> names;
@@ -513,11 +517,13 @@
     bool taken = false;
     for (int i = 0; i < 4000 && !taken; ++i) {
       k.step();
-      if (i % 20 == 0) taken = k.order(order(Kind::use, ++number, "good", {}, epoch)) == keeper::Verdict::taken;
+      if (i % 20 == 0)
+        taken = k.order(order(Kind::use, ++number, "good", {}, epoch)) == keeper::Verdict::taken;
     }
     for (int i = 0; i < 1200; ++i) k.step();
     const Kept& kept = k.kept();
-    const bool rests = taken && kept.outcome == Outcome::done && k.serving_version() == "good" && k.processes() == 1;
+    const bool rests =
+        taken && kept.outcome == Outcome::done && k.serving_version() == "good" && k.processes() == 1;
     if (!rests) {
       ++restless;
       if (restless <= 3)
@@ -535,10 +541,14 @@
 }  // namespace
 
 int main(int count, char** words) {
-  const std::map<std::string, std::function<void()>> cases{
-      {"orders", orders}, {"kept", kept},     {"counts", counts},
-      {"swaps", swaps},   {"trials", trials}, {"ends", ends},
-      {"killed_at_each_act", killed_at_each_act}, {"random_lives", random_lives}};
+  const std::map<std::string, std::function<void()>> cases{{"orders", orders},
+                                                           {"kept", kept},
+                                                           {"counts", counts},
+                                                           {"swaps", swaps},
+                                                           {"trials", trials},
+                                                           {"ends", ends},
+                                                           {"killed_at_each_act", killed_at_each_act},
+                                                           {"random_lives", random_lives}};
   const auto at = count == 2 ? cases.find(words[1]) : cases.end();
   if (at == cases.end()) return 2;
   at->second();
--- a/tests/parser_traces.cpp
+++ b/tests/parser_traces.cpp
@@ -473,9 +473,9 @@
          refusable([](const std::string& text) { config::read_commission(text); }));
 }
 
-// A process that is stopped while it waits, and goes on after a timer is due, reads what has come in meanwhile before
-// that timer speaks. Else a gatherer gives up, after every pause, on answers that wait to be read, and sends their
-// parts again (drawn fleets 56 and 135 with keepers).
+// A process that is stopped while it waits, and goes on after a timer is due, reads what has come in
+// meanwhile before that timer speaks. Else a gatherer gives up, after every pause, on answers that wait to be
+// read, and sends their parts again (drawn fleets 56 and 135 with keepers).
 void stood_still() {
   int told[2], back[2];
   if (pipe(told) != 0 || pipe(back) != 0) return;
--- a/tests/rollout_rig.cpp
+++ b/tests/rollout_rig.cpp
@@ -1,5 +1,5 @@
-// Rolling changes over real keepers and gatherers, conducted by marbledyke-fleet as a process of its own, under load.
-// Each line is a verdict that is the same every time.
+// Rolling changes over real keepers and gatherers, conducted by marbledyke-fleet as a process of its own,
+// under load. Each line is a verdict that is the same every time.
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -26,7 +26,7 @@
 
 struct Setting {
   int machines = 4;
-  double rate = 60;  // multigets a second at each
+  double rate = 60;     // multigets a second at each
   bool relays = false;  // between the tool and each keeper
   int seconds = 60;
 };
@@ -40,7 +40,8 @@
     Recipe next;
     next.program = "marbledyke-flawed";
     next.flaw = flaw;
-    // A mistake in the settings: as good as no room, so that whoever comes while one is in hand is pushed back.
+    // A mistake in the settings: as good as no room, so that whoever comes while one is in hand is pushed
+    // back.
     if (next.flaw == "room") next.room = 1;
     next.mark = "v2";
     for (int i = 0; i < setting_.machines; ++i) {
@@ -52,10 +53,12 @@
     }
     std::string fleet = "<fleet xmlns=\"urn:marbledyke:fleet:1\" name=\"rig\"><zone name=\"a\"/>";
     for (int i = 0; i < setting_.machines; ++i)
-      fleet += "<keeper name=\"m" + std::to_string(i) + "\" zone=\"a\" control=\"" + site_.machine(i).control.text() + "\"/>";
+      fleet += "<keeper name=\"m" + std::to_string(i) + "\" zone=\"a\" control=\"" +
+               site_.machine(i).control.text() + "\"/>";
     std::ofstream(path("fleet.xml")) << fleet << "</fleet>\n";
     std::ofstream(path("plan.xml"))
-        << "<rollout xmlns=\"urn:marbledyke:rollout:1\" name=\"r\" version=\"v2\" at-a-time=\"1\" before=\"12s\" burn-in=\"1s\" "
+        << "<rollout xmlns=\"urn:marbledyke:rollout:1\" name=\"r\" version=\"v2\" at-a-time=\"1\" "
+           "before=\"12s\" burn-in=\"1s\" "
            "longest-wait=\"40s\" swap-limit=\"15s\" block=\"1\" least-asked=\"10\">"
            "<stage name=\"one\" count=\"1\" soak=\"15s\"/><stage name=\"rest\" share=\"1\" soak=\"8s\"/>"
            // What this machine's other work does to a process of it is no fault of a version.
@@ -72,8 +75,8 @@
   }
   bool ready() const { return ready_; }
   void conduct() {
-    conductor_.start({rig::program("marbledyke-fleet"), "rollout", "start", path("fleet.xml"), path("plan.xml"), "--folder",
-                      path("rollout")},
+    conductor_.start({rig::program("marbledyke-fleet"), "rollout", "start", path("fleet.xml"),
+                      path("plan.xml"), "--folder", path("rollout")},
                      {}, path("conductor.log"));
   }
   rig::Process& conductor() { return conductor_; }
@@ -81,8 +84,8 @@
   bool second_refused() {
     until(2s, [] { return false; });
     rig::Process second;
-    second.start({rig::program("marbledyke-fleet"), "rollout", "start", path("fleet.xml"), path("plan.xml"), "--folder",
-                  path("rollout")},
+    second.start({rig::program("marbledyke-fleet"), "rollout", "start", path("fleet.xml"), path("plan.xml"),
+                  "--folder", path("rollout")},
                  {}, path("second.log"));
     until(5s, [&] { return second.ended().has_value(); });
     return second.ended() && WEXITSTATUS(*second.ended()) == 2;
@@ -116,7 +119,8 @@
       return true;
     });
     std::uint64_t out = 0;
-    for (const auto& one : clients_) out += one->tally().due - one->tally().answered - one->tally().pushed_back;
+    for (const auto& one : clients_)
+      out += one->tally().due - one->tally().answered - one->tally().pushed_back;
     return out;
   }
   std::string why() {
@@ -139,7 +143,8 @@
   int uses() {
     int out = 0;
     std::ifstream history(path("rollout/history"));
-    for (std::string line; std::getline(history, line);) out += line.find(": use: taken") != std::string::npos ? 1 : 0;
+    for (std::string line; std::getline(history, line);)
+      out += line.find(": use: taken") != std::string::npos ? 1 : 0;
     return out;
   }
 
@@ -190,9 +195,10 @@
   say("each was changed once", scene.uses() == scene.machines());
 }
 
-// Twelve gatherers, and all that lies between the conductor and their keepers goes wrong while it goes on: slow and lossy
-// paths, half of the keepers out of reach in the middle of a stage, a conductor that stands still and one that is killed.
-// By hand: two minutes, and at 25 multigets a second the judge's noise has a say in how it ends.
+// Twelve gatherers, and all that lies between the conductor and their keepers goes wrong while it goes on:
+// slow and lossy paths, half of the keepers out of reach in the middle of a stage, a conductor that stands
+// still and one that is killed. By hand: two minutes, and at 25 multigets a second the judge's noise has a
+// say in how it ends.
 void faults() {
   Setting setting;
   setting.machines = 12;
@@ -211,9 +217,9 @@
   scene.until(4s, [] { return false; });
   scene.conductor().signal(SIGCONT);
   say("a conductor that stood still for 4 s goes on to the second", scene.until(60s, [&] {
-        const json now = scene.state();
-        return now.is_object() && now["kept"].value("stage", -1) == 1 && scene.uses() >= 3;
-      }));
+    const json now = scene.state();
+    return now.is_object() && now["kept"].value("stage", -1) == 1 && scene.uses() >= 3;
+  }));
   rig::Way lost;
   lost.lost = true;
   for (int i = 0; i < scene.machines(); i += 2) scene.site().machine(i).control_relay->set(lost, lost);
@@ -240,12 +246,14 @@
     scene.conduct();
     const int status = scene.exit_status(120s);
     const json state = scene.state();
-    std::printf("%-12s conductor: status %d, %s in stage %d; %d of 4 on v1\n", flaw, status, scene.at().c_str(),
-                state.is_object() ? state["kept"].value("stage", -2) + 1 : -1, scene.on("v1"));
+    std::printf("%-12s conductor: status %d, %s in stage %d; %d of 4 on v1\n", flaw, status,
+                scene.at().c_str(), state.is_object() ? state["kept"].value("stage", -2) + 1 : -1,
+                scene.on("v1"));
   }
 }
 
-// One flaw, for experiments/rollouts/flaws.csv: how it ended, in which stage, after how long, and what clients lost.
+// One flaw, for experiments/rollouts/flaws.csv: how it ended, in which stage, after how long, and what
+// clients lost.
 void measure(const char* flaw) {
   Setting setting;
   setting.seconds = 100;
@@ -259,7 +267,8 @@
   std::replace(why.begin(), why.end(), ',', ';');
   std::printf("%s,%s,%d,%.0f,%llu,%llu,%s\n", flaw, scene.at().c_str(),
               state.is_object() ? state["kept"].value("stage", -2) + 1 : -1, took,
-              static_cast<unsigned long long>(scene.due()), static_cast<unsigned long long>(scene.not_answered()), why.c_str());
+              static_cast<unsigned long long>(scene.due()),
+              static_cast<unsigned long long>(scene.not_answered()), why.c_str());
 }
 
 }  // namespace
--- a/tests/rollout_traces.cpp
+++ b/tests/rollout_traces.cpp
@@ -1,5 +1,5 @@
-// Rolling changes as they are decided, without I/O: whom a stage changes, what the judge says of two sides, what the
-// conductor does with it, and both over an emulated fleet.
+// Rolling changes as they are decided, without I/O: whom a stage changes, what the judge says of two sides,
+// what the conductor does with it, and both over an emulated fleet.
 #include <cstdio>
 #include <functional>
 #include <map>
@@ -17,7 +17,8 @@
 std::vector<Member> members(int count, int zones) {
   std::vector<Member> out;
   for (int i = 0; i < count; ++i)
-    out.push_back({"m" + std::to_string(i), "z" + std::to_string(i % zones), i < 2 ? std::vector<std::string>{"first"} : std::vector<std::string>{}});
+    out.push_back({"m" + std::to_string(i), "z" + std::to_string(i % zones),
+                   i < 2 ? std::vector<std::string>{"first"} : std::vector<std::string>{}});
   return out;
 }
 
@@ -30,14 +31,19 @@
       for (const std::string& name : stages[i]) std::printf(" %s", name.c_str());
       std::printf("\n");
     }
-    for (const std::string& why : objections(plan, members(count, zones))) std::printf("objection: %s\n", why.c_str());
+    for (const std::string& why : objections(plan, members(count, zones)))
+      std::printf("objection: %s\n", why.c_str());
   };
   Plan plan;
-  plan.stages = {{"one", 1, 0, "", "", 60s}, {"quarter", 0, 0.25, "", "", 60s}, {"half", 0, 0.5, "", "", 60s}, {"all", 0, 1, "", "", 60s}};
+  plan.stages = {{"one", 1, 0, "", "", 60s},
+                 {"quarter", 0, 0.25, "", "", 60s},
+                 {"half", 0, 0.5, "", "", 60s},
+                 {"all", 0, 1, "", "", 60s}};
   show("twelve in three zones", plan, 12, 3);
   show("a fleet of two", plan, 2, 1);
   show("a fleet of one", plan, 1, 1);
-  plan.stages = {{"group", 0, 0, "", "first", 60s}, {"zone", 0, 0, "z1", "", 60s}, {"rest", 0, 1, "", "", 60s}};
+  plan.stages = {
+      {"group", 0, 0, "", "first", 60s}, {"zone", 0, 0, "z1", "", 60s}, {"rest", 0, 1, "", "", 60s}};
   show("a group, then a zone", plan, 8, 2);
   plan.stages = {{"most", 0, 0.8, "", "", 1s}, {"all", 0, 1, "", "", 60s}};
   show("most at first, and no time", plan, 10, 2);
@@ -46,26 +52,32 @@
 Side side(std::uint64_t asked, double bad, std::mt19937& chance) {
   Side out;
   out.asked = out.ended = asked;
-  const auto lost = static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(asked), bad)(chance));
+  const auto lost =
+      static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(asked), bad)(chance));
   out.good = out.answered = asked - lost;
   out.failed = lost;
-  out.slow = static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(out.answered), 0.1)(chance));
+  out.slow = static_cast<std::uint64_t>(
+      std::binomial_distribution<int>(static_cast<int>(out.answered), 0.1)(chance));
   out.sends = asked * 4;
-  out.further = static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(out.sends), 0.02)(chance));
+  out.further =
+      static_cast<std::uint64_t>(std::binomial_distribution<int>(static_cast<int>(out.sends), 0.02)(chance));
   out.cpu = 5e-5 * static_cast<double>(asked);
   return out;
 }
 
-// Shares of what is asked and of what is lost, by op type and zone, for old and new; before the change and after.
+// Shares of what is asked and of what is lost, by op type and zone, for old and new; before the change and
+// after.
 struct Case {
   const char* name;
-  std::function<void(const Stratum&, bool is_new, bool after, int block, std::uint64_t& asked, double& bad)> how;
+  std::function<void(const Stratum&, bool is_new, bool after, int block, std::uint64_t& asked, double& bad)>
+      how;
 };
 
 void verdicts() {
   const Case cases[] = {
       {"sound", [](const Stratum&, bool, bool, int, std::uint64_t&, double&) {}},
-      {"2% worse everywhere", [](const Stratum&, bool n, bool after, int, std::uint64_t&, double& bad) { bad += n && after ? 0.02 : 0; }},
+      {"2% worse everywhere", [](const Stratum&, bool n, bool after, int, std::uint64_t&,
+                                 double& bad) { bad += n && after ? 0.02 : 0; }},
       {"8% worse in one op type of one zone",
        [](const Stratum& s, bool n, bool after, int, std::uint64_t&, double& bad) {
          bad += n && after && s.op_type == "issue" && s.zone == "a" ? 0.08 : 0;
@@ -80,12 +92,14 @@
        }},
       {"unlike clients before and after alike",
        [](const Stratum&, bool n, bool, int, std::uint64_t&, double& bad) { bad += n ? 0.03 : 0; }},
-      {"worse only from the 30th block on",
-       [](const Stratum&, bool n, bool after, int block, std::uint64_t&, double& bad) { bad += n && after && block >= 30 ? 0.04 : 0; }},
+      {"worse only from the 30th block on", [](const Stratum&, bool n, bool after, int block, std::uint64_t&,
+                                               double& bad) { bad += n && after && block >= 30 ? 0.04 : 0; }},
       {"a trouble of all, blocks 5 to 20",
-       [](const Stratum&, bool, bool after, int block, std::uint64_t&, double& bad) { bad += after && block >= 5 && block < 20 ? 0.2 : 0; }},
-      {"the new ones take from the old",
-       [](const Stratum&, bool n, bool after, int, std::uint64_t&, double& bad) { bad += !n && after ? 0.10 : 0; }},
+       [](const Stratum&, bool, bool after, int block, std::uint64_t&, double& bad) {
+         bad += after && block >= 5 && block < 20 ? 0.2 : 0;
+       }},
+      {"the new ones take from the old", [](const Stratum&, bool n, bool after, int, std::uint64_t&,
+                                            double& bad) { bad += !n && after ? 0.10 : 0; }},
       {"hardly anything is asked",
        [](const Stratum&, bool, bool, int, std::uint64_t& asked, double&) { asked = asked / 100; }}};
   for (const Case& one : cases) {
@@ -115,11 +129,14 @@
       judge.after(block(true, i));
       const Finding found = judge.look(i >= 36);
       if (found.verdict != last) {
-        said += (said.empty() ? "" : ", ") + std::string(name_of(found.verdict)) + " after " + std::to_string(i + 1);
+        said += (said.empty() ? "" : ", ") + std::string(name_of(found.verdict)) + " after " +
+                std::to_string(i + 1);
         last = found.verdict;
         at = i;
       }
-      if (last == rollout::Verdict::worse || last == rollout::Verdict::harm || last == rollout::Verdict::passed) break;
+      if (last == rollout::Verdict::worse || last == rollout::Verdict::harm ||
+          last == rollout::Verdict::passed)
+        break;
     }
     (void)at;
     std::printf("%-40s %s\n", one.name, said.empty() ? "nothing" : said.c_str());
@@ -134,7 +151,8 @@
   std::printf("the old ones grow as well: %s\n", name_of(both.look(false).verdict));
 }
 
-// A fleet of keepers that carry out orders after a while, or do not, and a conductor that may be replaced at any time.
+// A fleet of keepers that carry out orders after a while, or do not, and a conductor that may be replaced at
+// any time.
 struct Fleet {
   struct One {
     std::string version = "old", outcome = "done";
@@ -170,9 +188,7 @@
     };
     take_over();
   }
-  void take_over() {
-    conductor = std::make_unique<Conductor>(plan, its, kept, ++epoch, now, 1000s + now);
-  }
+  void take_over() { conductor = std::make_unique<Conductor>(plan, its, kept, ++epoch, now, 1000s + now); }
   void step() {
     now += 1s;
     for (auto& [name, one] : keepers) {
@@ -200,7 +216,8 @@
       report.serves = true;
       conductor->report(name, report);
     }
-    if (conductor->state() == State::soaking || conductor->state() == State::waiting || conductor->state() == State::swapping)
+    if (conductor->state() == State::soaking || conductor->state() == State::waiting ||
+        conductor->state() == State::swapping)
       conductor->judged(judge(*conductor));
     carry_out();
   }
@@ -211,9 +228,14 @@
       if (!act) break;
       if (act->what == Act::What::keep) kept = conductor->kept();
       if (act->what == Act::What::note && told) told(act->why);
-      if (act->what != Act::What::use && act->what != Act::What::back && act->what != Act::What::confirm) continue;
+      if (act->what != Act::What::use && act->what != Act::What::back && act->what != Act::What::confirm)
+        continue;
       One& one = keepers[act->keeper];
-      if (told) told((act->what == Act::What::use ? "use " : act->what == Act::What::back ? "back " : "confirm ") + act->keeper);
+      if (told)
+        told((act->what == Act::What::use    ? "use "
+              : act->what == Act::What::back ? "back "
+                                             : "confirm ") +
+             act->keeper);
       if (!one.reachable) continue;
       if (act->what == Act::What::confirm) {
         if (one.outcome == "on_trial") one.outcome = "done";
@@ -227,7 +249,8 @@
             if (name == act->keeper) stage_under_way = i;
           }
         }
-        if (stage_under_way != conductor->kept().stage) broken = "an order of another stage than the one under way";
+        if (stage_under_way != conductor->kept().stage)
+          broken = "an order of another stage than the one under way";
         if (one.version == "new") broken = "a step repeated";
         one.uses += 1;
       }
@@ -250,8 +273,10 @@
     int new_ones = 0;
     for (const auto& [name, one] : keepers) new_ones += one.version == "new" ? 1 : 0;
     return std::string(name_of(conductor->state())) + ", " + std::to_string(new_ones) + " of " +
-           std::to_string(keepers.size()) + " new" + (conductor->kept().why.empty() ? "" : "; " + conductor->kept().why) +
-           (broken.empty() ? "" : "; BROKEN: " + broken) + (conductor->impossible() > 0 ? "; IMPOSSIBLE" : "");
+           std::to_string(keepers.size()) + " new" +
+           (conductor->kept().why.empty() ? "" : "; " + conductor->kept().why) +
+           (broken.empty() ? "" : "; BROKEN: " + broken) +
+           (conductor->impossible() > 0 ? "; IMPOSSIBLE" : "");
   }
 };
 
@@ -269,27 +294,28 @@
     fleet.run(1000s);
     std::printf("%s\n", fleet.end().c_str());
   };
-  play("sound", [](Fleet&) {}, true);
-  play("the judge stops the second stage",
-       [](Fleet& f) {
-         f.judge = [](const Conductor& c) {
-           Finding out;
-           if (c.kept().stage == 1 && c.soaked() > 5s) {
-             out.verdict = rollout::Verdict::worse;
-             out.what = "failed of look in a";
-           } else if (c.soak_over()) {
-             out.verdict = rollout::Verdict::passed;
-           }
-           return out;
-         };
-       },
-       true);
+  play(
+      "sound", [](Fleet&) {}, true);
+  play(
+      "the judge stops the second stage",
+      [](Fleet& f) {
+        f.judge = [](const Conductor& c) {
+          Finding out;
+          if (c.kept().stage == 1 && c.soaked() > 5s) {
+            out.verdict = rollout::Verdict::worse;
+            out.what = "failed of look in a";
+          } else if (c.soak_over()) {
+            out.verdict = rollout::Verdict::passed;
+          }
+          return out;
+        };
+      },
+      true);
   play("a keeper fails in the second stage", [](Fleet& f) { f.keepers["m3"].fails = true; });
-  play("the way back fails too",
-       [](Fleet& f) {
-         f.keepers["m3"].fails = true;
-         f.keepers["m0"].fails_back = true;
-       });
+  play("the way back fails too", [](Fleet& f) {
+    f.keepers["m3"].fails = true;
+    f.keepers["m0"].fails_back = true;
+  });
   play("one does not have the version", [](Fleet& f) { f.keepers["m5"].has = false; });
   play("one is never reached", [](Fleet& f) { f.keepers["m5"].reachable = false; });
   play("half cannot be reached in the middle of a stage, for 30 s", [](Fleet& f) {
@@ -344,8 +370,8 @@
   });
 }
 
-// The conductor is replaced before each single act, and at random moments with keepers that fail at random: never a
-// step twice, never two stages under way, and always an end.
+// The conductor is replaced before each single act, and at random moments with keepers that fail at random:
+// never a step twice, never two stages under way, and always an end.
 void successors() {
   std::map<std::string, int> ends;
   int broken = 0, open = 0;
@@ -361,10 +387,10 @@
       fleet.judge = [&chance](const Conductor& c) {
         Finding out;
         const auto drawn = chance() % 200;
-        out.verdict = drawn == 0   ? rollout::Verdict::worse
-                      : drawn == 1 ? rollout::Verdict::harm
-                      : drawn < 20 ? rollout::Verdict::trouble
-                      : drawn < 40 ? rollout::Verdict::too_little
+        out.verdict = drawn == 0      ? rollout::Verdict::worse
+                      : drawn == 1    ? rollout::Verdict::harm
+                      : drawn < 20    ? rollout::Verdict::trouble
+                      : drawn < 40    ? rollout::Verdict::too_little
                       : c.soak_over() ? rollout::Verdict::passed
                                       : rollout::Verdict::going;
         return out;
@@ -376,7 +402,8 @@
         fleet.take_over();  // the former one is gone, with what it had decided and not carried out
         fleet.conductor->start();
       }
-      if (!sound && chance() % 40 == 0) fleet.keepers["m" + std::to_string(chance() % 6)].reachable = chance() % 3 != 0;
+      if (!sound && chance() % 40 == 0)
+        fleet.keepers["m" + std::to_string(chance() % 6)].reachable = chance() % 3 != 0;
       if (chance() % 200 == 0) fleet.conductor->pause();
       if (fleet.conductor->state() == State::paused && chance() % 10 == 0) fleet.conductor->resume();
       fleet.step();
@@ -396,11 +423,14 @@
 }
 
 void fleets() {
-  const auto play = [](const char* what, int runs, const emulator::FleetModel& fleet, const emulator::Flaw& flaw) {
+  const auto play = [](const char* what, int runs, const emulator::FleetModel& fleet,
+                       const emulator::Flaw& flaw) {
     std::map<std::string, int> ends;
     for (int i = 1; i <= runs; ++i) {
-      const emulator::RolloutResult r = emulator::roll(fleet, flaw, emulator::usual_plan(), static_cast<std::uint32_t>(i));
-      ends[std::string(name_of(r.end)) + " in stage " + std::to_string(r.stage + 1) + (r.impossible > 0 ? ", IMPOSSIBLE" : "")] += 1;
+      const emulator::RolloutResult r =
+          emulator::roll(fleet, flaw, emulator::usual_plan(), static_cast<std::uint32_t>(i));
+      ends[std::string(name_of(r.end)) + " in stage " + std::to_string(r.stage + 1) +
+           (r.impossible > 0 ? ", IMPOSSIBLE" : "")] += 1;
     }
     std::printf("%s:", what);
     for (const auto& [end, count] : ends) std::printf(" %d %s;", count, end.c_str());
@@ -423,8 +453,11 @@
 }  // namespace
 
 int main(int count, char** words) {
-  const std::map<std::string, std::function<void()>> cases{
-      {"plans", plans}, {"verdicts", verdicts}, {"conductors", conductors}, {"successors", successors}, {"fleets", fleets}};
+  const std::map<std::string, std::function<void()>> cases{{"plans", plans},
+                                                           {"verdicts", verdicts},
+                                                           {"conductors", conductors},
+                                                           {"successors", successors},
+                                                           {"fleets", fleets}};
   const auto at = count == 2 ? cases.find(words[1]) : cases.end();
   if (at == cases.end()) return 2;
   at->second();
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -1,5 +1,5 @@
-// The whole program on loopback sockets among stand-ins for clients, shard servers and discovery that live in this same
-// thread: what a test does between two turns happens there and nowhere else.
+// The whole program on loopback sockets among stand-ins for clients, shard servers and discovery that live in
+// this same thread: what a test does between two turns happens there and nowhere else.
 #pragma once
 
 #include <sys/socket.h>
@@ -201,25 +201,28 @@
   explicit Scene(const std::string& entries, const std::string& connect_timeout = "20000000",
                  const std::string& budget = "30000000", const std::string& tick = "5000",
                  const Changes& changes = {}, SteppedTime* clock = nullptr)
-      : text(changed(R"({"name":"n0","listen":")" + address(1) + R"(","discovery":")" + address(2) +
-             R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" +
-             entries +
-             R"(]},"settings":{"categories":[
+      : text(changed(
+            R"({"name":"n0","listen":")" + address(1) + R"(","discovery":")" + address(2) +
+                R"(","seed":"7","limits":{"sockets":200},"known":{"index":4,"snapshot":true,"endpoints":[)" +
+                entries +
+                R"(]},"settings":{"categories":[
               {"name":"draft","deadline":60000000,"objective":)" +
-             budget + R"(,"effect":"repeatable"},
+                budget + R"(,"effect":"repeatable"},
               {"name":"issue","deadline":60000000,"objective":)" +
-             budget + R"(,"effect":"once"}],
+                budget + R"(,"effect":"once"}],
             "zones":["a"],"telemetry":{"fields":["cpu"],"how":"on_probe"},"registry-mode":"ask","replicas-of-me":1,
             "specifics":{"slabs":4,"sets":1,"width":1,"bundle-max":16,"overhead":80000,"second-step":[2,0],
               "class-floor":[1,1],"complete-from":[1,1]},
             "limits":{"max-open":9,"streams-per-conn":100,"connect-timeout":)" +
-             connect_timeout + R"(,"conn-idle":60000000,
+                connect_timeout + R"(,"conn-idle":60000000,
               "attempts-cap":3,"cancel":true,"second-copies":true,"retry-after":true,"max-retry-after":1000000},
             "tick":)" +
-             tick + R"(,"contract":{"ask-every":10000000}}})", changes)),
+                tick + R"(,"contract":{"ask-every":10000000}}})",
+            changes)),
         commission(config::read_commission(text)),
         stepped(clock),
-        gatherer(commission, {}, clock != nullptr ? static_cast<const TimeSource&>(*clock) : machine_clock()) {}
+        gatherer(commission, {},
+                 clock != nullptr ? static_cast<const TimeSource&>(*clock) : machine_clock()) {}
   // In stepped time, among settings with these changes.
   Scene(const std::string& entries, SteppedTime& clock, const Changes& changes = {})
       : Scene(entries, "250000", "30000000", "5000", changes, &clock) {}
--- a/tests/search_rig.cpp
+++ b/tests/search_rig.cpp
@@ -25,14 +25,14 @@
 
 #include "checker/checker.h"
 #include "emulator/world.h"
+#include "lab/sockets.h"
+#include "scenario/scenario.h"
+#include "sru/message.h"
 #include "standins/catalogue.h"
 #include "standins/discovery.h"
 #include "standins/leaf.h"
 #include "standins/process.h"
 #include "standins/search_server.h"
-#include "lab/sockets.h"
-#include "scenario/scenario.h"
-#include "sru/message.h"
 #include "z3950/ber.h"
 #include "z3950/talk.h"
 
@@ -143,7 +143,7 @@
       file.insert(file.rfind("</marbledyke>"), "  <servers>\n" + servers + "  </servers>\n");
     const std::string path = gatherer.put("operator.xml", file);
     nlohmann::json configuration = standins::configuration("rig", http, discovery_at_, discovery_->body(-1),
-                                                      standins::nested(terms_of(scenario_, 0)));
+                                                           standins::nested(terms_of(scenario_, 0)));
     configuration["limits"]["sockets"] = sockets;
     gatherer.start(configuration, {"--operator", path}, "marbledyke-search");
     thread_ = std::thread([this] { run(); });
@@ -188,8 +188,8 @@
       if (kind_ != Kind::frames) return search_servers_[static_cast<std::size_t>(server)]->set(manner);
       standins::Leaf& leaf = *leaves_[static_cast<std::size_t>(server)];
       const standins::Door door = manner == Manner::refuses        ? standins::Door::refuses
-                             : manner == Manner::breaks_after ? standins::Door::resets_after_call
-                                                              : standins::Door::open;
+                                  : manner == Manner::breaks_after ? standins::Door::resets_after_call
+                                                                   : standins::Door::open;
       leaf.set(0, door);
       if (door == standins::Door::refuses) leaf.cut_all();
       // What is answered before the reset would be no loss.
--- a/tests/search_traces.cpp
+++ b/tests/search_traces.cpp
@@ -8,10 +8,10 @@
 
 #include "carrier/carrier.h"
 #include "cql/read.h"
-#include "standins/catalogue.h"
 #include "search/desk.h"
 #include "sru/message.h"
 #include "sru/talk.h"
+#include "standins/catalogue.h"
 #include "z3950/ber.h"
 #include "z3950/front.h"
 #include "z3950/talk.h"
--- a/tests/stage_traces.cpp
+++ b/tests/stage_traces.cpp
@@ -91,7 +91,8 @@
   play("all killed, their keepers start them", {fault(FaultKind::kill_gatherer, 1)});
   play("all swapped under load", {fault(FaultKind::swap_gatherer, 1)});
   play("one stands still", {fault(FaultKind::pause_gatherer, 0.3)});
-  play("keepers killed while gatherers are", {fault(FaultKind::kill_keeper, 0.6), fault(FaultKind::kill_gatherer, 0.3)});
+  play("keepers killed while gatherers are",
+       {fault(FaultKind::kill_keeper, 0.6), fault(FaultKind::kill_gatherer, 0.3)});
   play("keepers stand still, their clocks are fast",
        {fault(FaultKind::pause_keeper, 0.3), fault(FaultKind::keeper_clock, 0.6, 1.5)});
   play("list cut, and a path lost", {fault(FaultKind::list_cut, 0.6), fault(FaultKind::path_lost, 0.3)});
