--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -132,8 +132,9 @@
   int call_parts = 0;
   std::array<std::pair<Span, double>, 64> cold_sends{};
   std::size_t cold_next = 0;
-  Span turn_at{-1h};  // while cold: when it was last drawn whether this gatherer may send, and what came out
-  bool turn = false;
+  double cold_credit = 0;             // own cost saved up for it while cold, where a window's share is under one send
+  Span credit_at{};                   // when that was last added to
+  std::optional<Span> credit_start;  // the start of the replica that it is for
 };
 
 // Parts that lately came in for a cell, faded.
