--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -67,8 +67,8 @@
 constexpr Span kLook = 40ms;              // how long a multiget waits for that
 constexpr double kSilence = 20;           // an unanswered look stands for this multiple of the time it is out
 constexpr double kAtOnce = 2;             // parts that a replica is taken to work on at once
-constexpr double kOverbook = 4;           // of so many gatherers one uses its share at a cold replica at once
-constexpr double kSavedSends = 2;         // what is not used there is saved, up to so many sends
+constexpr double kOverbook = 4;           // of so many gatherers one uses its share of a cold replica
+constexpr double kSavedSends = 2;         // sends up to which a share of it is saved: the next, and one after
 constexpr double kMissGain = 0.1;         // weight of the newest multiget in the share that misses its budget
 // clang-format on
 
@@ -334,11 +334,9 @@
       const OpType& op = type_of(mg);
       const int place = parts.take(ask.id);
       Part& part = parts.at(place);
-      for (int j = 0; j < std::min(mg.width, mg.cells); ++j) {
-        CellFlow& flow = asked_of[static_cast<std::size_t>((ask.shard + j) % mg.cells)];
-        flow = {flow.parts * fade(now - flow.at, kShardMemory) + 1, now};
-      }
-      all_asked = {all_asked.parts * fade(now - all_asked.at, kShardMemory) + 1, now};
+      for (int j = 0; j < std::min(mg.width, mg.cells); ++j)
+        asked_of[static_cast<std::size_t>((ask.shard + j) % mg.cells)].add(now, kShardMemory);
+      all_asked.add(now, kShardMemory);
       part.multiget = *at;
       part.next = mg.first_part;
       part.shard = ask.shard;
@@ -809,28 +807,20 @@
     const double carried = std::max(flow / std::max(warm_ones, 1.0), 1e6 / peers);
     const double room = cold_multiple * warm * carried * seconds(cold_window);
     if (sent > 0 || cost <= room) return sent + cost <= room;
-    return saved_credit(r, cost, room) >= cost;
+    return saved_share(r, cost, room) >= cost;
   }
 
-  // Many gatherers have less than one send each in a window, so each saves its share until it holds one, from
-  // a random part of one on: in the long run they send no more than their shares, however many have parts.
-  // Few have one at first, so each starts with what it would have saved in some windows before; with less
-  // where its own parts, beside the one at hand, are for that cell at more than its even share.
-  double saved_credit(Replica& r, double cost, double room) {
-    if (r.credit_start != r.started) {
-      r.credit_start = r.started;
-      r.credit_at = now;
-      const CellFlow& flow = asked_of[static_cast<std::size_t>(r.cell)];
-      const double here = flow.parts * fade(now - flow.at, kShardMemory) - 1;
-      const double even = all_asked.parts * fade(now - all_asked.at, kShardMemory) * width / cells;
-      const double windows = kOverbook * even / std::max({here, even, 1e-9});  // with the present one
-      const double phase = std::uniform_real_distribution<double>(0, 1)(chance);
-      r.cold_credit = cost * phase + room * std::max(windows - 1, 0.0);
+  // Many gatherers have less than one send each in a window. Each saves its share until it holds one, from a
+  // random part of one on, so that in the long run they send no more than their shares, however many want to.
+  // As few do, each starts with what some windows save; less where its other parts are mostly for that cell.
+  double saved_share(Replica& r, double cost, double room) {
+    if (r.saved.start != r.started) {
+      const double here = asked_of[static_cast<std::size_t>(r.cell)].recent(now, kShardMemory) - 1;
+      const double even = all_asked.recent(now, kShardMemory) * width / cells;
+      const double before = std::max(kOverbook * even / std::max({here, even, 1e-9}) - 1, 0.0);
+      r.saved = {cost * std::uniform_real_distribution<>()(chance) + room * before, now, r.started};
     }
-    r.cold_credit += room * (micros(now - r.credit_at) / micros(cold_window));
-    r.cold_credit = std::min(r.cold_credit, kSavedSends * cost);
-    r.credit_at = now;
-    return r.cold_credit;
+    return r.saved.grown(now, room, cold_window, kSavedSends * cost);
   }
 
   // Whether a doubtful replica gets work in this turn is drawn from the posterior of its chance of success.
@@ -928,7 +918,7 @@
     if (part.out() > 1) copied.add(now);
     r.assigned += cost;
     if (warmth(r) < 1) r.cold_sends[r.cold_next++ % r.cold_sends.size()] = {now, cost};
-    r.cold_credit -= cost;
+    r.saved.work -= cost;
     mg.sends_out += 1;
     had_of(part.shard, to) += had_unit;
     // Nor is it begun behind another's frame when the window of an earlier one that may have run is over.
--- a/src/model/hand.h
+++ b/src/model/hand.h
@@ -1,6 +1,7 @@
 // What the module keeps of op types, customers, multigets, parts, sends and replicas. Nothing here decides.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -9,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "model/measure.h"
 #include "model/plain.h"
 
 namespace marbledyke {
@@ -108,6 +110,19 @@
   std::optional<Span> drawn_at;
 };
 
+// The work (us) that a gatherer may still send to one cold replica; it grows by the gatherer's share.
+struct SavedShare {
+  double work = 0;
+  Span at{};                  // when it was last added to
+  std::optional<Span> start;  // the replica's start that it is for
+
+  double grown(Span now, double share, Span window, double most) {
+    work = std::min(work + share * (micros(now - at) / micros(window)), most);
+    at = now;
+    return work;
+  }
+};
+
 struct Replica {
   std::string server;
   std::uint64_t hash = 0;
@@ -132,15 +147,16 @@
   int call_parts = 0;
   std::array<std::pair<Span, double>, 64> cold_sends{};
   std::size_t cold_next = 0;
-  double cold_credit = 0;             // own cost saved up for it while cold, where a window's share is under one send
-  Span credit_at{};                   // when that was last added to
-  std::optional<Span> credit_start;  // the start of the replica that it is for
+  SavedShare saved;  // while cold, where a window's share is under one send
 };
 
 // Parts that lately came in for a cell, faded.
 struct CellFlow {
   double parts = 0;
   Span at{};
+
+  double recent(Span now, Span memory) const { return parts * fade(now - at, memory); }
+  void add(Span now, Span memory) { *this = {recent(now, memory) + 1, now}; }
 };
 
 // A replica that a part may be sent to.
--- a/tests/choice_traces.cpp
+++ b/tests/choice_traces.cpp
@@ -1,4 +1,5 @@
 // Traces of the decision module, one case a run; the kept ones are in traces/.
+#include <array>
 #include <cstring>
 #include <stdexcept>
 
@@ -380,11 +381,13 @@
   g.decide();
 }
 
-// With a fair share far below one send a window, few of many gatherers send to a cold replica at all.
+// With a fair share far below one send a window, few of many gatherers send to a cold replica at all; and
+// where all of them have parts for it all the time, one that has sent waits until its share makes up the next
+// send.
 void cold_turns() {
   Terms terms = ordinary_terms();
   terms["replicas-of-me"] = 100.0;
-  int sent = 0;
+  std::array<int, 4> sent{};
   for (unsigned seed = 1; seed <= 100; ++seed) {
     Choice choice(terms, seed);
     choice.clock(0ms);
@@ -394,13 +397,19 @@
     row.started = 0ms;
     choice.list_row(row);
     choice.list_closes();
-    choice.multiget_taken({rid("m"), 1, 0, 0, 1, 4s});
-    choice.part_taken({rid("ma"), 1, 0, 1.0, 0, 100ms});
-    while (choice.next_verdict()) {
+    for (std::size_t window = 0; window < sent.size(); ++window) {
+      const std::string name(1, static_cast<char>('m' + window));
+      const Span now = static_cast<std::int64_t>(window) * 1001ms;
+      choice.clock(now);
+      choice.multiget_taken({rid(name), static_cast<double>(window + 1), 0, 0, 1, now + 4s});
+      choice.part_taken({rid(name + "a"), static_cast<double>(window + 1), 0, 1.0, 0, 100ms});
+      while (choice.next_verdict()) {
+      }
+      while (choice.next_send()) sent[window] += 1;
     }
-    while (choice.next_send()) sent += 1;
   }
-  std::printf("sends by 100 gatherers in a window: %d\n", sent);
+  std::printf("sends by 100 gatherers in a window: %d\n", sent[0]);
+  std::printf("and in the next ones: %d, %d, %d\n", sent[1], sent[2], sent[3]);
 }
 
 // Where no two sends of a part may be out together, an overdue one is withdrawn, and only its end sends the
