--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -810,9 +810,8 @@
     return saved_share(r, cost, room) >= cost;
   }
 
-  // Many gatherers have less than one send each in a window. Each saves its share until it holds one, from a
-  // random part of one on, so that in the long run they send no more than their shares, however many want to.
-  // As few do, each starts with what some windows save; less where its other parts are mostly for that cell.
+  // A share below one send a window is saved until it holds one, so no more than the shares is sent. Few use
+  // theirs: each starts with what some windows save; less where its other parts are mostly for that cell.
   double saved_share(Replica& r, double cost, double room) {
     if (r.saved.start != r.started) {
       const double here = asked_of[static_cast<std::size_t>(r.cell)].recent(now, kShardMemory) - 1;
@@ -924,7 +923,8 @@
     // Nor is it begun behind another's frame when the window of an earlier one that may have run is over.
     Span begun_by = mg.last_moment;
     for (int i = 0; i + 1 < part.sent && type_of(mg).repeat == Repeat::deduped; ++i)
-      if (part.send(i).may_have_run) begun_by = std::min(begun_by, part.send(i).at + type_of(mg).dedupe_window);
+      if (part.send(i).may_have_run)
+        begun_by = std::min(begun_by, part.send(i).at + type_of(mg).dedupe_window);
     plan.push_back({part.id, r.server, mg.last_moment, begun_by});
   }
 
@@ -1096,7 +1096,7 @@
   std::vector<std::vector<int>> by_cell;
   CellFlow all_asked;
   std::vector<CellFlow> asked_of;  // parts by cell, faded as a shard's are
-  std::vector<double> had;  // recent parts by shard and replica
+  std::vector<double> had;         // recent parts by shard and replica
   double had_unit = 1;
   Span now{}, had_at{}, flow_at{}, own_rate_at{}, looked_at{-1h}, ask_from{}, noted_at{-1h};
   std::size_t verdict_cursor = 0, plan_cursor = 0;
