Cold servers: where parts are even, twice the share is saved up

Change: what is saved is twice the share and falls to it as the gatherer's own parts are for that cell at more than an even share, by the same figure that the start goes by.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -810,16 +810,16 @@
     return saved_share(r, cost, room) >= cost;
   }
 
-  // A share below one send a window is saved until it holds one, so no more than the shares is sent. Few use
-  // theirs: each starts with what some windows save; less where its other parts are mostly for that cell.
+  // A share below one send a window is saved until it holds one. As few use theirs, twice the share is saved,
+  // and a start has what some windows save; down to the share where other parts are mostly for that cell.
   double saved_share(Replica& r, double cost, double room) {
-    if (r.saved.start != r.started) {
-      const double here = asked_of[static_cast<std::size_t>(r.cell)].recent(now, kShardMemory) - 1;
-      const double even = all_asked.recent(now, kShardMemory) * width / cells;
-      const double before = std::max(kOverbook * even / std::max({here, even, 1e-9}) - 1, 0.0);
-      r.saved = {cost * std::uniform_real_distribution<>()(chance) + room * before, now, r.started};
-    }
-    return r.saved.grown(now, room, cold_window, kSavedSends * cost);
+    const double here = asked_of[static_cast<std::size_t>(r.cell)].recent(now, kShardMemory) - 1;
+    const double even = all_asked.recent(now, kShardMemory) * width / cells;
+    const double few = kOverbook * even / std::max({here, even, 1e-9});
+    if (r.saved.start != r.started)
+      r.saved = {cost * std::uniform_real_distribution<>()(chance) + room * std::max(few - 1, 0.0), now,
+                 r.started};
+    return r.saved.grown(now, room * std::max(few / 2, 1.0), cold_window, kSavedSends * cost);
   }
 
   // Whether a doubtful replica gets work in this turn is drawn from the posterior of its chance of success.
