--- a/src/lab/scale/load.cpp
+++ b/src/lab/scale/load.cpp
@@ -75,10 +75,15 @@
     add("core", "share", used / wall);
     add("memory", "MB", resident_megabytes(gatherer_.pid()));
     add("descriptors", "count", static_cast<double>(open_descriptors(gatherer_.pid())));
-    add("p50", "ms", milliseconds(p50));
-    add("p99", "ms", milliseconds(p99));
+    if (tally.answered > 0) {
+      add("p50", "ms", milliseconds(p50));
+      add("p99", "ms", milliseconds(p99));
+    }
     add("asked", "multigets", static_cast<double>(tally.due));
     add("whole", "multigets", static_cast<double>(tally.whole));
+    add("pushed_back", "multigets", static_cast<double>(tally.pushed_back));
+    add("timed_out", "multigets", static_cast<double>(tally.timed_out));
+    add("failed", "multigets", static_cast<double>(tally.failed + tally.cut));
     run_.add(kPart, rate * kPartsPerMultiget, "core_at_" + std::to_string(servers_) + "_servers", "share",
              number, used / wall);
   }
