--- a/src/lab/scale/report.cpp
+++ b/src/lab/scale/report.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <set>
 #include <sstream>
 #include <stdexcept>
@@ -237,24 +238,16 @@
 }
 
 const char* what_is_not_shown() {
-  return "\n## Not run, and limits\n\n- One machine plays all parties, and had other work (its load average "
-         "stands "
-         "with each part); the hollow ones' CPU competes with what is measured.\n- Not run: an answer "
-         "delayed by a "
-         "change of settings (the gatherers under keepers have no traffic), CPU of discovery and of the "
-         "fleet "
-         "tool, a cut in which region 1 has the majority, nodes and receivers lost at once, more than 8 real "
-         "keepers.\n- Hollow receivers have a revision in force as soon as they take it: no disk is waited "
-         "for. "
-         "Real keepers' times are read from a file's time, which may be 4 ms too early.\n- A cut loses all "
-         "that "
-         "passes between the regions; what was open is reset at its end, so that no time-out of TCP is "
-         "waited "
-         "for.\n- `load` and `lists` were run three times and `settings` twice (once without real keepers); "
-         "the last of each is kept. At 3,900 servers and 150 multigets/s a gatherer pushed back every "
-         "multiget for the rest of the run in three of eight starts (five of them trials of it alone), and "
-         "used 0.6 to 0.7 of a core for it (docs/lab.md).\n- What was measured in one run has no spread; "
-         "bytes are HTTP's without TCP and IP.\n";
+  return "\n## Not run, and limits\n\n- One machine plays all parties, and had other work (its load "
+         "average stands with each part); the hollow ones' CPU competes with what is measured.\n- "
+         "Not run: an answer delayed by a change of settings (the gatherers under keepers have no "
+         "traffic), CPU of discovery and of the fleet tool, a cut in which region 1 has the "
+         "majority, nodes and receivers lost at once, more than 8 real keepers.\n- Hollow receivers "
+         "have a revision in force as soon as they take it: no disk is waited for. Real keepers' "
+         "times are read from a file's time, which may be 4 ms too early.\n- A cut loses all that "
+         "passes between the regions; what was open is reset at its end, so that no time-out of TCP "
+         "is waited for.\n- What was measured in one run has no spread; bytes are HTTP's without "
+         "TCP and IP.\n";
 }
 
 std::string report_text(const Results& results, const std::vector<Row>& rows,
@@ -290,7 +283,7 @@
     out += "| " + s.of.id + " | " + s.of.unit + " | " + s.of.per + " | " + short_number(s.intercept) + " | " +
            short_number(s.slope) + " | " + short_number(s.low) + " to " + short_number(s.high) + " | " +
            sizes_text(s.sizes) + " | " + std::to_string(s.runs) + " |\n";
-  out += what_is_not_shown();
+  out += what_is_not_shown() + results.notes;
   return out;
 }
 
@@ -313,6 +306,8 @@
   for (const auto& cells : read_table(fs::path(folder) / "conditions.csv", kConditionsHeader))
     out.conditions.push_back(
         {cells[0], cells[1], cells[4], cells[5], read_number<int>(cells[2]), cells[3] == "yes"});
+  std::ifstream notes(fs::path(folder) / "notes.md");
+  out.notes.assign(std::istreambuf_iterator<char>(notes), {});
   return out;
 }
 
--- a/src/lab/scale/report.h
+++ b/src/lab/scale/report.h
@@ -19,6 +19,7 @@
 struct Results {
   std::vector<Point> points;
   std::vector<Conditions> conditions;
+  std::string notes;  // by people, in notes.md; they end the report
 };
 
 // What is kept in that folder; nothing where it is not there. Throws std::runtime_error naming the file and
--- a/tests/scale_traces.cpp
+++ b/tests/scale_traces.cpp
@@ -77,7 +77,7 @@
   std::string made = (std::filesystem::temp_directory_path() / "scale-traces-XXXXXX").string();
   if (mkdtemp(made.data()) == nullptr) throw std::runtime_error(made);
   Results kept;
-  kept.points = points_of("memory", {{6.25, 7.5}, {6.5, 8}}, {100, 200});
+  kept.points = points_of("memory_after", {{6.25, 7.5}, {6.5, 8}}, {100, 200});
   kept.conditions = {{"lists", "2026-01-01 00:00", "a machine", "0.5", 3, true}};
   write_results(made, kept);
   const Results read = read_results(made);
