--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr int kBadClients = 20;        // one after the other
-constexpr int kRequestsAtOnce = 100;   // of each
+constexpr int kBadClients = 60;        // one after the other
+constexpr int kRequestsAtOnce = 300;   // of each
 constexpr int kUsualClients = 4;
 constexpr auto kService = 100ms;
 
@@ -112,8 +112,11 @@
       write_all(fd, much);
       const std::string some = read_some(fd, 500);
       record.line("bad client %d sent %d requests at once, has read %zu bytes and goes", bad, kRequestsAtOnce, some.size());
-      close(fd);  // more was answered than it has read: the system resets the connection
-      std::this_thread::sleep_for(100ms);
+      // Each goes after a time of its own, while the gatherer is at its requests. More was answered by then than it has
+      // read, so the system resets the connection.
+      std::this_thread::sleep_for(std::chrono::microseconds(137 * bad % 4000));
+      close(fd);
+      std::this_thread::sleep_for(50ms);
       alive = gatherer.running();
     }
   }
