--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -23,9 +23,12 @@
   std::vector<Entry> list;
   for (int i = 0; i < 4; ++i) {
     leaves.push_back(std::make_unique<FrameServer>("127.0.0.1", kService, [&, i](const PartRun& part) {
-      record.line("leaf-%d runs %s", i, part.id.c_str());
+      record.line("leaf-%d is sent and runs %s %s (%s)", i, part.id.c_str(), part.list.c_str(), part.text.c_str());
       return FrameServer::End{"S 1 -", "value-of-" + part.id};
     }));
+    leaves.back()->answers = [&, i](const PartRun& part, const FrameServer::End& end) {
+      record.line("leaf-%d answers %s: %s, %s", i, part.id.c_str(), end.how.c_str(), end.value.c_str());
+    };
     list.push_back({"leaf-" + std::to_string(i), leaves.back()->address(), i % 2 == 0 ? "hall-a" : "hall-b"});
   }
   Discovery discovery("127.0.0.1", record);
@@ -81,13 +84,13 @@
         std::snprintf(id, sizeof id, "%08x%08x", client + 1, i + 1);
         const bool issue = i % 3 == 0;
         const std::string body = "{\"slices\":[{\"slice\":" + std::to_string(i % 4) + ",\"mass\":1.0}],\"filter\":\"" + id + "\"}";
-        record.line("client %d asks %s (%s)", client, id, issue ? "issue" : "draft");
+        record.line("client %d asks %s (%s): %s", client, id, issue ? "issue" : "draft", body.c_str());
         asked += 1;
         write_all(fd, "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: " + std::string(id) + "\r\nX-Class: " +
                           (issue ? "issue" : "draft") + "\r\nX-Tenant: norrby-juridik\r\nX-Deadline-Ms: 4000\r\nContent-Length: " +
                           std::to_string(body.size()) + "\r\n\r\n" + body);
         const auto answer = read_http(fd, rest, 4500);
-        record.line("client %d gets for %s: %s", client, id, answer ? answer->first.c_str() : "NO ANSWER");
+        record.line("client %d gets for %s: %s %s", client, id, answer ? answer->first.c_str() : "NO ANSWER", answer ? answer->body.c_str() : "");
         (answer ? ended : unanswered) += 1;
         if (!answer) {
           close(fd);
@@ -111,7 +114,8 @@
       if (fd < 0) break;
       write_all(fd, much);
       const std::string some = read_some(fd, 500);
-      record.line("bad client %d sent %d requests at once, has read %zu bytes and goes", bad, kRequestsAtOnce, some.size());
+      record.line("bad client %d sent \"GET /clauses?operation=explain&version=1.2 HTTP/1.1\" %d times at once, was answered %s ... "
+                  "(%zu bytes read) and goes", bad, kRequestsAtOnce, some.substr(0, some.find('\r')).c_str(), some.size());
       // Each goes after a time of its own, while the gatherer is at its requests. More was answered by then than it has
       // read, so the system resets the connection.
       std::this_thread::sleep_for(std::chrono::microseconds(137 * bad % 4000));
