SRU front: a reset between two answers no longer ends the program

What callers saw: a client of SRU that sends requests at once and resets its connection ended marbledyke-search by SIGSEGV. Every other client's multiget in hand was never answered and nobody served until the next start.

Cause: after an answer is written, a timer finds the connection in the map and begins the next request that is there. That request is answered within the same call; where its write fails, the stream's end takes the entry out of the map, and the timer went on through its iterator. The object itself lives until the end of the turn (graves_), so only the iterator was stale: the pointer in the freed node was null, hence SIGSEGV at once also without sanitizers.

Change: the timer keeps a reference to the object instead, as the HTTP front does. resume_reading() does nothing on a closed stream. It holds since destroy_closed() is called by Gatherer::run_once() after the loop's turn and nowhere else.

--- a/src/sru/front.cpp
+++ b/src/sru/front.cpp
@@ -205,9 +205,10 @@
     if (there.expired()) return;
     const auto at = callers_.find(number);
     if (at == callers_.end()) return;
-    at->second->answering = false;
-    arrived(*at->second);
-    if (!at->second->stream->is_closed()) at->second->stream->resume_reading();
+    Caller& next = *at->second;  // may be closed below, but is destroyed only after the turn
+    next.answering = false;
+    arrived(next);
+    next.stream->resume_reading();
   });
 }
 
