Z39.50 front: a reset between two searches no longer ends the program

What callers would see: as with the SRU front, the end of marbledyke-search by SIGSEGV with all that was in hand.

Cause: the same as in sru::Front. read_on() sets a timer that takes up a message which waited for an answer. Where the answer to that message cannot be written, since the client has gone, the association is closed and its map entry freed; the timer went on through the iterator.

Change: the timer keeps a reference to the association, which lives until the end of the turn.

--- a/src/z3950/front.cpp
+++ b/src/z3950/front.cpp
@@ -251,8 +251,9 @@
     if (there.expired()) return;
     const auto found = associations_.find(number);
     if (found == associations_.end()) return;
-    arrived(*found->second);
-    if (!found->second->stream->is_closed()) found->second->stream->resume_reading();
+    Association& next = *found->second;  // may be closed below, but is destroyed only after the turn
+    arrived(next);
+    next.stream->resume_reading();
   });
 }
 
