JSON server: a request behind one that timed out is no longer given up with it

What callers saw: on a connection of the control interfaces (keeper, control node) with two requests sent at once, the second was never answered by the owner where the first ran into the reply limit; it got its 503 a whole limit later. No program of ours sends so, and the keeper answers at once; a tool of another make on a control node would see it.

Cause: check() wrote the 503 and told the owner afterwards that the request was abandoned. Writing it may bring the next request on the connection to the owner at once (flush, on_drained, on_data, dispatch), under the same id. The owner then gave up that one.

Change: the owner is told before the response is written; the phase is set first, so that a reply of the owner within that call has no effect, as its comment promises.

--- a/src/net/json_server.cpp
+++ b/src/net/json_server.cpp
@@ -142,9 +142,10 @@
     if (lasted > kWriteTimeout) drop(connection);
   } else if (connection.phase == Phase::waiting) {
     if (lasted <= limits_.reply_timeout) return;
-    const ConnectionId id = connection.id;
+    // Before the response, which may bring the connection's next request to the owner, under the same id.
+    connection.phase = Phase::answering;
+    if (callbacks_.on_abandoned) callbacks_.on_abandoned(connection.id);
     write(connection, {503, R"({"error":"no answer in time"})"}, connection.keep_alive);
-    if (callbacks_.on_abandoned) callbacks_.on_abandoned(id);
   } else if (connection.parser.has_started()) {
     if (lasted > kRequestTimeout)
       write(connection, {408, R"({"error":"the request did not end in time"})"}, false);
