Keeper: an order to try a version no longer hangs when it comes right behind another

What callers saw: a `try` that arrives between the end of the check before it and the keeper's next turn is taken with 202 and never ends: its state stays under_way, and every later order but `stop` is answered with busy. The time between holds a write of the state to disk, so it is as long as the disk is slow.

Cause: the end of a check set a timer that destroyed version_check_, whichever check that is by then. An order that came before the timer had put its own check there.

Change: the check is destroyed at once, within its callback, which VersionCheck allows ("on_done may destroy this object": it calls a copy and touches nothing of itself afterwards). Moving it aside for the timer would do as well, and needs one member more.

--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -399,7 +399,7 @@
   }
   version_check_ =
       std::make_unique<VersionCheck>(loop_, std::move(steps), [this](const VersionCheck::Result& result) {
-        loop_.call_at(loop_.now(), [this] { version_check_.reset(); });
+        version_check_.reset();
         supervisor_->on_version_task_done(result.error, result.notes);
         carry_out_actions();
       });
