SRU front: the usual names, as in the HTTP front; one function starts an operation

Change: names, comments and constants as there; request() is split into on_request_complete() and start_operation(), the timer's body is serve_next_request(). Names of log events, their keys and the texts of answers are as they were.

--- a/src/sru/front.cpp
+++ b/src/sru/front.cpp
@@ -10,52 +10,59 @@
 using namespace std::chrono_literals;
 using search::Trouble;
 
-constexpr Duration kSweep = 100ms;
-constexpr Duration kSaysNothing = 2s;  // before its first request, or within one
-constexpr Duration kIdle = 60s;        // between requests
-constexpr std::size_t kMostAnswer = 16 * 1024 * 1024;
-constexpr std::size_t kMostDropped = 256 * 1024;
-
-// Sets of clients that never say goodbye share one session, bounded as all sessions are together.
-search::Terms shared(search::Terms terms) {
+constexpr Duration kTimeoutCheckInterval = 100ms;
+// For the first byte on a connection, and from a request's first byte to its last.
+constexpr Duration kRequestTimeout = 2s;
+constexpr Duration kIdleTimeout = 60s;  // between requests
+constexpr std::size_t kMaxResponseBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
+
+// Returns the terms for one session that all clients share, with the limits of all sessions together.
+search::Terms with_shared_session(search::Terms terms) {
   terms.limits.sets = terms.limits.all_sets;
   terms.limits.operations = terms.limits.sessions;
   terms.limits.sessions = 1;
-  // It must not end before the sets in it: clients are told how long these live.
+  // The session must not end before the result sets in it, whose lifetime clients are told.
   terms.limits.idle = std::max(terms.limits.idle, terms.limits.set_life);
   return terms;
 }
 
 }  // namespace
 
-struct Front::Caller {
+struct Front::Connection {
   std::uint64_t number = 0;
   std::unique_ptr<net::Stream> stream;
   net::HttpParser reader;
   Request request;
-  Duration first_byte{}, since{};
-  search::Operation waits = 0;
-  bool in_hand = false, answering = false, spoken = false, stays = true, parting = false;
-  std::size_t dropped = 0;
+  Duration first_byte_at{};
+  Duration idle_since{};            // start or end of writing the last response; the accept before the first
+  search::Operation operation = 0;  // that the request waits for; 0: none
+  bool has_sent_data = false;
+  bool is_request_pending = false;  // a request waits for its response
+  bool is_responding = false;       // a response is being written, or was written in this turn
+  bool keep_alive = true;
+  bool is_closing = false;  // after the last response; input is discarded until the client closes
+  std::size_t discarded_bytes = 0;
 
-  explicit Caller(std::size_t most_body) : reader(net::HttpParser::Kind::request, most_body) {}
+  explicit Connection(std::size_t max_body_bytes) : reader(net::HttpParser::Kind::request, max_body_bytes) {}
 };
 
 Front::Front(net::Loop& loop, const search::Terms& terms, const config::ServiceSettings& settings,
-             const net::Address& listen, std::uint32_t seed, std::size_t most)
-    : DeskFront(loop, shared(terms), settings, seed),
+             const net::Address& listen, std::uint32_t seed, std::size_t max_connections)
+    : DeskFront(loop, with_shared_session(terms), settings, seed),
       listen_(listen),
-      most_(most),
+      max_connections_(max_connections),
       listener_(std::make_unique<net::Listener>(
           loop, listen,
-          net::Listener::Callbacks{[this] { return callers_.size() < most_ || release_connection(); },
-                                   [this] { return release_connection(); },
-                                   [this](net::Descriptor fd) { came(std::move(fd)); }})) {
-  sweep();
+          net::Listener::Callbacks{
+              [this] { return connections_.size() < max_connections_ || release_connection(); },
+              [this] { return release_connection(); },
+              [this](net::Descriptor fd) { add_connection(std::move(fd)); }})) {
+  check_timeouts();
 }
 
 Front::~Front() {
-  if (swept_) loop_.cancel(*swept_);
+  if (timeout_timer_) loop_.cancel(*timeout_timer_);
 }
 
 search::Session Front::session() {
@@ -64,239 +71,260 @@
 }
 
 void Front::session_over(search::Session over) {
-  // Nobody has asked for long; with it go its sets, which have had their time as well.
+  // No client has sent a request for long, so the sets of the session have expired as well.
   desk_.close(over);
   session_ = 0;
 }
 
-void Front::came(net::Descriptor fd) {
+void Front::add_connection(net::Descriptor fd) {
   tally_.accepted += 1;
-  auto made = std::make_unique<Caller>(desk_.limits().message);
-  Caller* const caller = made.get();
-  caller->number = next_++;
-  caller->since = loop_.now();
-  callers_.emplace(caller->number, std::move(made));
-  caller->stream = std::make_unique<net::Stream>(
-      loop_, std::move(fd), true, desk_.limits().message, kMostAnswer,
-      net::Stream::Callbacks{nullptr, [this, caller] { arrived(*caller); },
-                             [this, caller] { drained(*caller); }, [this, caller](bool) { close(*caller); }});
+  auto owned = std::make_unique<Connection>(desk_.limits().message);
+  Connection* const connection = owned.get();
+  connection->number = next_number_++;
+  connection->idle_since = loop_.now();
+  connections_.emplace(connection->number, std::move(owned));
+  connection->stream = std::make_unique<net::Stream>(
+      loop_, std::move(fd), true, desk_.limits().message, kMaxResponseBytes,
+      net::Stream::Callbacks{nullptr, [this, connection] { on_data_received(*connection); },
+                             [this, connection] { on_response_written(*connection); },
+                             [this, connection](bool) { close(*connection); }});
 }
 
-void Front::arrived(Caller& caller) {
-  net::RingBuffer& in = caller.stream->in();
-  if (caller.parting) {
-    caller.dropped += in.size();
-    if (caller.dropped <= kMostDropped) in.clear();
+void Front::on_data_received(Connection& connection) {
+  net::RingBuffer& in = connection.stream->in();
+  if (connection.is_closing) {
+    connection.discarded_bytes += in.size();
+    if (connection.discarded_bytes <= kMaxDiscardedBytes) in.clear();
     return;
   }
-  while (!caller.in_hand && !caller.answering && !caller.stream->is_closed() && !in.empty()) {
-    if (!caller.reader.has_started()) caller.first_byte = loop_.now();
-    caller.spoken = true;
-    in.consume(caller.reader.feed(in.front()));
-    if (caller.reader.state() == net::HttpParser::State::malformed) {
+  while (!connection.is_request_pending && !connection.is_responding && !connection.stream->is_closed() &&
+         !in.empty()) {
+    if (!connection.reader.has_started()) connection.first_byte_at = loop_.now();
+    connection.has_sent_data = true;
+    in.consume(connection.reader.feed(in.front()));
+    if (connection.reader.state() == net::HttpParser::State::malformed) {
       tally_.unreadable += 1;
-      caller.in_hand = true;
-      caller.stays = false;
+      connection.is_request_pending = true;
+      connection.keep_alive = false;
       static log::RateLimitedEvent throttled(log::Level::info, "sru.unreadable");
-      throttled.write({{"status", caller.reader.error_status()}});
-      return say(caller, caller.reader.error_status(), "the request cannot be read\n");
+      throttled.write({{"status", connection.reader.error_status()}});
+      return respond(connection, connection.reader.error_status(), "the request cannot be read\n");
     }
-    if (caller.reader.state() == net::HttpParser::State::complete) return request(caller);
+    if (connection.reader.state() == net::HttpParser::State::complete) return on_request_complete(connection);
   }
 }
 
-void Front::request(Caller& caller) {
+// Responds to what needs no search; starts an operation for all else.
+void Front::on_request_complete(Connection& connection) {
   tally_.requests += 1;
-  caller.in_hand = true;
-  const net::HttpMessage& message = caller.reader.message();
-  caller.stays = message.keeps_alive() && !parting_;
+  connection.is_request_pending = true;
+  const net::HttpMessage& message = connection.reader.message();
+  connection.keep_alive = message.keeps_alive() && !closes_after_answers_;
   if (message.target_or_status == "/healthz")
-    return say(caller, leaving_ ? 503 : 200, leaving_ ? "stopping\n" : "serving\n");
+    return respond(connection, is_stopping_ ? 503 : 200, is_stopping_ ? "stopping\n" : "serving\n");
   if (message.method_or_version != "GET" && message.method_or_version != "POST")
-    return say(caller, 405, "GET and POST are answered here\n");
-  caller.request = read_request(message);
-  Request& its = caller.request;
-  if (its.database.empty() && desk_.terms().databases.size() == 1)
-    its.database = desk_.terms().databases.front().name;
-  const search::Database* database = search::find(desk_.terms(), its.database);
-  if (its.wrong.what == Trouble::none && database == nullptr)
-    its.wrong = {Trouble::unknown_database, its.database};
-  if (its.wrong.what != Trouble::none) {
+    return respond(connection, 405, "GET and POST are answered here\n");
+  connection.request = read_request(message);
+  Request& request = connection.request;
+  if (request.database.empty() && desk_.terms().databases.size() == 1)
+    request.database = desk_.terms().databases.front().name;
+  const search::Database* database = search::find(desk_.terms(), request.database);
+  if (request.wrong.what == Trouble::none && database == nullptr)
+    request.wrong = {Trouble::unknown_database, request.database};
+  if (request.wrong.what != Trouble::none) {
     static log::RateLimitedEvent throttled(log::Level::info, "sru.bad_request");
-    throttled.write({{"diagnostic", number_of(its.wrong.what)}, {"why", its.wrong.detail}});
-    return say(caller, 200, diagnostic_body(its, its.wrong));
-  }
-  if (its.verb == Verb::explain) {
-    const std::string at = listen_.text();
-    const std::size_t colon = at.rfind(':');
-    return say(
-        caller, 200,
-        explain_body(its, *database, at.substr(0, colon), std::atoi(at.c_str() + colon + 1), desk_.limits()));
+    throttled.write({{"diagnostic", number_of(request.wrong.what)}, {"why", request.wrong.detail}});
+    return respond(connection, 200, diagnostic_body(request, request.wrong));
   }
-  const search::When when{caller.first_byte, its.patience};
-  if (its.verb == Verb::scan) {
-    search::ScanAsk ask;
-    ask.database = its.database;
-    ask.index = its.index;
-    ask.term = its.term;
-    ask.count = its.terms;
-    ask.position = its.position;
-    caller.waits = desk_.scan(session(), ask, when);
-  } else if (!its.result_set.empty()) {
-    search::PresentAsk ask;
-    ask.set = its.result_set;
-    ask.first = its.first;
-    ask.count = its.count;
-    ask.schema = its.schema;
-    caller.waits = desk_.present(session(), ask, when);
-  } else {
-    search::SearchAsk ask;
-    ask.databases = {its.database};
-    ask.query = its.query;
-    ask.first = its.first;
-    ask.count = its.count;
-    ask.schema = its.schema;
-    ask.sort = its.sort;
-    ask.life = its.set_life > 0s ? its.set_life : desk_.limits().set_life;
-    caller.waits = desk_.search(session(), std::move(ask), when);
+  if (request.verb == Verb::explain) {
+    const std::string address = listen_.text();
+    const std::size_t colon = address.rfind(':');
+    return respond(connection, 200,
+                   explain_body(request, *database, address.substr(0, colon),
+                                std::atoi(address.c_str() + colon + 1), desk_.limits()));
   }
-  waiting_[caller.waits] = caller.number;
+  connection.operation = start_operation(connection);
+  pending_operations_[connection.operation] = connection.number;
   pump();
 }
 
+search::Operation Front::start_operation(const Connection& connection) {
+  const Request& request = connection.request;
+  const search::When when{connection.first_byte_at, request.patience};
+  if (request.verb == Verb::scan) {
+    search::ScanAsk scan_ask;
+    scan_ask.database = request.database;
+    scan_ask.index = request.index;
+    scan_ask.term = request.term;
+    scan_ask.count = request.terms;
+    scan_ask.position = request.position;
+    return desk_.scan(session(), scan_ask, when);
+  }
+  if (!request.result_set.empty()) {
+    search::PresentAsk present_ask;
+    present_ask.set = request.result_set;
+    present_ask.first = request.first;
+    present_ask.count = request.count;
+    present_ask.schema = request.schema;
+    return desk_.present(session(), present_ask, when);
+  }
+  search::SearchAsk search_ask;
+  search_ask.databases = {request.database};
+  search_ask.query = request.query;
+  search_ask.first = request.first;
+  search_ask.count = request.count;
+  search_ask.schema = request.schema;
+  search_ask.sort = request.sort;
+  search_ask.life = request.set_life > 0s ? request.set_life : desk_.limits().set_life;
+  return desk_.search(session(), std::move(search_ask), when);
+}
+
 void Front::replied(search::Reply&& reply) {
-  const auto at = waiting_.find(reply.operation);
-  if (at == waiting_.end()) return;
-  const auto who = callers_.find(at->second);
-  waiting_.erase(at);
-  if (who == callers_.end()) return;
-  Caller& caller = *who->second;
-  caller.waits = 0;
-  const std::string body = caller.request.verb == Verb::scan ? scan_body(caller.request, reply)
-                                                             : search_body(caller.request, reply);
-  // Nothing has run: HTTP's own word for it, so that whatever stands between does not keep the answer.
-  const bool later =
+  const auto pending = pending_operations_.find(reply.operation);
+  if (pending == pending_operations_.end()) return;
+  const auto at = connections_.find(pending->second);
+  pending_operations_.erase(pending);
+  if (at == connections_.end()) return;
+  Connection& connection = *at->second;
+  connection.operation = 0;
+  const std::string body = connection.request.verb == Verb::scan ? scan_body(connection.request, reply)
+                                                                 : search_body(connection.request, reply);
+  // Nothing has run. The HTTP status says so too, so that no cache on the way keeps the response.
+  const bool is_unavailable =
       reply.diagnostic.what == Trouble::unavailable || reply.diagnostic.what == Trouble::too_busy;
-  say(caller, later ? 503 : 200, body, reply.come_back);
+  respond(connection, is_unavailable ? 503 : 200, body, reply.come_back);
 }
 
-void Front::say(Caller& caller, int status, const std::string& body, Duration come_back) {
-  if (!check_invariant(caller.in_hand, "an SRU answer belongs to a request in hand")) return;
-  caller.in_hand = false;
-  caller.answering = true;
-  caller.since = loop_.now();
-  if (parting_) caller.stays = false;
-  caller.reader.reset();
-  if (!caller.stream->out().append(net::format_response(
-          status, body.starts_with('<') ? "application/xml; charset=utf-8" : "text/plain", body, caller.stays,
-          come_back)))
-    return close(caller);
-  caller.stream->flush();
+void Front::respond(Connection& connection, int status, const std::string& body, Duration retry_after) {
+  if (!check_invariant(connection.is_request_pending, "an SRU answer belongs to a request in hand")) return;
+  connection.is_request_pending = false;
+  connection.is_responding = true;
+  connection.idle_since = loop_.now();
+  if (closes_after_answers_) connection.keep_alive = false;
+  connection.reader.reset();
+  const char* const content_type = body.starts_with('<') ? "application/xml; charset=utf-8" : "text/plain";
+  const std::string response =
+      net::format_response(status, content_type, body, connection.keep_alive, retry_after);
+  // A response that does not fit the buffer closes the connection, which the client recognises as a failure.
+  if (!connection.stream->out().append(response)) return close(connection);
+  connection.stream->flush();
 }
 
-void Front::drained(Caller& caller) {
-  caller.since = loop_.now();
-  if (!caller.stays) {
-    caller.answering = false;
-    return part(caller);
+void Front::on_response_written(Connection& connection) {
+  connection.idle_since = loop_.now();
+  if (!connection.keep_alive) {
+    connection.is_responding = false;
+    return close_gracefully(connection);
   }
-  // What came meanwhile has its turn after everyone else's.
-  loop_.call_at(loop_.now(), [this, number = caller.number, there = std::weak_ptr(there_)] {
-    if (there.expired()) return;
-    const auto at = callers_.find(number);
-    if (at == callers_.end()) return;
-    Caller& next = *at->second;  // may be closed below, but is destroyed only after the turn
-    next.answering = false;
-    arrived(next);
-    next.stream->resume_reading();
+  // Data received meanwhile is handled after the events of other connections. Otherwise a client that
+  // pipelines requests without a pause would occupy the loop.
+  loop_.call_at(loop_.now(), [this, number = connection.number, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) serve_next_request(number);
   });
 }
 
-void Front::part(Caller& caller) {
-  caller.parting = true;
-  caller.since = loop_.now();
-  caller.stream->in().clear();
-  caller.stream->shutdown_write();
-  caller.stream->resume_reading();
+void Front::serve_next_request(std::uint64_t number) {
+  const auto at = connections_.find(number);
+  if (at == connections_.end()) return;
+  Connection& connection = *at->second;  // may be closed below, but is destroyed only after the turn
+  connection.is_responding = false;
+  on_data_received(connection);
+  connection.stream->resume_reading();
+}
+
+// Closing a connection with unread bytes resets it, and the response may be lost. So this side shuts down its
+// sending direction first, and the client has the connect timeout to close as well.
+void Front::close_gracefully(Connection& connection) {
+  connection.is_closing = true;
+  connection.idle_since = loop_.now();
+  connection.stream->in().clear();
+  connection.stream->shutdown_write();
+  connection.stream->resume_reading();
 }
 
-void Front::close(Caller& caller) {
-  caller.stream->close();
-  const auto at = callers_.find(caller.number);
-  if (at == callers_.end()) return;
-  if (caller.waits != 0) {
-    waiting_.erase(caller.waits);
-    desk_.abandon(caller.waits);
+void Front::close(Connection& connection) {
+  connection.stream->close();
+  const auto at = connections_.find(connection.number);
+  if (at == connections_.end()) return;
+  if (connection.operation != 0) {
+    pending_operations_.erase(connection.operation);
+    desk_.abandon(connection.operation);
   }
-  graves_.push_back(std::move(at->second));
-  callers_.erase(at);
+  closed_.push_back(std::move(at->second));
+  connections_.erase(at);
   if (listener_) listener_->resume();
   pump();
 }
 
-// Every wait on a client has its limit here.
-void Front::sweep() {
+// Enforces the limits on every wait for a client: for the first byte, for the end of a request, for reading a
+// response, for the next request, and for closing after the last response.
+void Front::check_timeouts() {
   const Duration now = loop_.now();
-  std::vector<Caller*> over, unended;
-  for (const auto& [number, caller] : callers_) {
-    if (caller->in_hand) continue;
-    if (caller->parting                ? now >= caller->since + settings_.connect_timeout
-        : caller->answering            ? now >= caller->since + settings_.max_route_timeout
-        : caller->reader.has_started() ? false
-                                       : now >= caller->since + (caller->spoken ? kIdle : kSaysNothing)) {
-      tally_.silent += caller->spoken ? 0 : 1;
-      over.push_back(caller.get());
-    } else if (caller->reader.has_started() && !caller->answering &&
-               now >= caller->first_byte + kSaysNothing) {
-      unended.push_back(caller.get());
+  std::vector<Connection*> expired, incomplete;
+  for (const auto& [number, connection] : connections_) {
+    if (connection->is_request_pending) continue;
+    const bool is_receiving = connection->reader.has_started();
+    const Duration idle_timeout = connection->has_sent_data ? kIdleTimeout : kRequestTimeout;
+    if (connection->is_closing      ? now >= connection->idle_since + settings_.connect_timeout
+        : connection->is_responding ? now >= connection->idle_since + settings_.max_route_timeout
+        : is_receiving              ? false
+                                    : now >= connection->idle_since + idle_timeout) {
+      tally_.silent += connection->has_sent_data ? 0 : 1;
+      expired.push_back(connection.get());
+    } else if (is_receiving && !connection->is_responding &&
+               now >= connection->first_byte_at + kRequestTimeout) {
+      incomplete.push_back(connection.get());
     }
   }
-  for (Caller* caller : unended) {
-    caller->in_hand = true;
-    caller->stays = false;
-    say(*caller, 408, "the request does not end\n");
+  for (Connection* connection : incomplete) {
+    connection->is_request_pending = true;
+    connection->keep_alive = false;
+    respond(*connection, 408, "the request does not end\n");
   }
-  for (Caller* caller : over) close(*caller);
-  swept_ = loop_.call_at(now + kSweep, [this] { sweep(); });
+  for (Connection* connection : expired) close(*connection);
+  timeout_timer_ = loop_.call_at(now + kTimeoutCheckInterval, [this] { check_timeouts(); });
 }
 
+// Closes the connection that is least harmful to close: one that closes anyway, then a silent one, an idle
+// one, and one with an incomplete request; among equals the one that has been so for longest.
 bool Front::release_connection() {
-  Caller* best = nullptr;
-  const auto spared = [](const Caller& caller) {
-    return std::make_pair(caller.parting                ? 0
-                          : !caller.spoken              ? 1
-                          : caller.reader.has_started() ? 3
-                                                        : 2,
-                          caller.since);
+  const auto rank = [](const Connection& connection) {
+    const int harm = connection.is_closing             ? 0
+                     : !connection.has_sent_data       ? 1
+                     : connection.reader.has_started() ? 3
+                                                       : 2;
+    return std::make_pair(harm, connection.idle_since);
   };
-  for (const auto& [number, caller] : callers_) {
-    if (caller->in_hand || caller->answering) continue;
-    if (best == nullptr || spared(*caller) < spared(*best)) best = caller.get();
+  Connection* first = nullptr;
+  for (const auto& [number, connection] : connections_) {
+    if (connection->is_request_pending || connection->is_responding) continue;
+    if (first == nullptr || rank(*connection) < rank(*first)) first = connection.get();
   }
-  if (best == nullptr) return false;
+  if (first == nullptr) return false;
   tally_.evicted += 1;
-  close(*best);
+  close(*first);
   return true;
 }
 
-void Front::announce_stop() { leaving_ = true; }
+void Front::announce_stop() { is_stopping_ = true; }
 
-void Front::close_after_answers() { parting_ = true; }
+void Front::close_after_answers() { closes_after_answers_ = true; }
 
 void Front::stop_accepting() {
   if (listener_) listener_->stop();
 }
 
 void Front::close_idle(Duration since) {
-  std::vector<Caller*> idle;
-  for (const auto& [number, caller] : callers_) {
-    if (caller->in_hand || caller->answering || caller->parting) continue;
-    if (!caller->reader.has_started() || caller->first_byte < since) idle.push_back(caller.get());
+  std::vector<Connection*> idle;
+  for (const auto& [number, connection] : connections_) {
+    if (connection->is_request_pending || connection->is_responding || connection->is_closing) continue;
+    if (!connection->reader.has_started() || connection->first_byte_at < since)
+      idle.push_back(connection.get());
   }
-  for (Caller* caller : idle) close(*caller);
+  for (Connection* connection : idle) close(*connection);
 }
 
-void Front::destroy_closed() { graves_.clear(); }
+void Front::destroy_closed() { closed_.clear(); }
 
 void Front::log_totals() const {
   log::event(log::Level::info, "sru.totals",
