--- a/src/z3950/front.cpp
+++ b/src/z3950/front.cpp
@@ -22,15 +22,16 @@
 using search::Reply;
 using search::Trouble;
 
-constexpr Duration kSweep = 100ms;
-constexpr Duration kSaysNothing = 2s;  // before its Init, or within a message
-constexpr std::size_t kDeepest = 500;  // BER elements within each other
-constexpr std::size_t kMostOut = 16 * 1024 * 1024;
-constexpr std::size_t kEnoughOut = 256 * 1024;  // unread by the client: nothing more is begun for it
-constexpr std::int64_t kLeastMessage = 4096;
-
-// The tags of the messages that do not wait their turn: trigger resource control [32] and close [48].
-bool urgent(const std::string& message) {
+constexpr Duration kTimeoutCheckInterval = 100ms;
+constexpr Duration kRequestTimeout = 2s;   // for the Init, and from a message's first byte to its last
+constexpr std::size_t kMaxBerDepth = 500;  // of nested elements
+constexpr std::size_t kMaxOutputBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxUnreadBytes = 256 * 1024;  // of responses; beyond it no operation begins
+constexpr std::int64_t kMinMessageBytes = 4096;
+
+// Whether a message is handled while an operation is pending: trigger resource control (tag 32) and close
+// (tag 48).
+bool is_urgent(const std::string& message) {
   if (message.size() < 2) return false;
   const auto first = static_cast<unsigned char>(message[0]), second = static_cast<unsigned char>(message[1]);
   return first == 0xbf && (second == 0x20 || second == 0x30);
@@ -154,8 +155,8 @@
   }
 }
 
-// An operation whose answer is owed.
-struct Front::Waiting {
+// An operation whose response has not been sent.
+struct Front::PendingOperation {
   int kind = 0;  // the request's Z_APDU_...
   std::optional<std::string> reference;
   std::string database;
@@ -167,99 +168,102 @@
   std::uint64_t number = 0;
   std::unique_ptr<net::Stream> stream;
   BerScanner scanner;
-  std::string bytes;  // of the message that is coming in
-  std::string held;   // one that is whole and waits its turn
-  Duration first_byte{}, since{};
+  std::string partial_message;   // received so far
+  std::string deferred_message;  // complete, but not handled before other operations have ended
+  Duration first_byte_at{}, since{};
   search::Session session = 0;
-  bool initialised = false, concurrent = false, segments = false, parting = false;
-  std::int64_t preferred = 0, exceptional = 0;  // sizes of messages and records, as agreed
-  std::map<search::Operation, Waiting> waiting;
+  bool initialised = false, concurrent = false, segments = false;
+  bool is_closing = false;  // after the last response; input is discarded until the client closes
+  std::int64_t preferred = 0, exceptional = 0;  // sizes of messages and records, as negotiated
+  std::map<search::Operation, PendingOperation> pending;
 
-  explicit Association(std::size_t most) : scanner(most, kDeepest) {}
+  explicit Association(std::size_t max_message_bytes) : scanner(max_message_bytes, kMaxBerDepth) {}
 };
 
 Front::Front(net::Loop& loop, const search::Terms& terms, const config::ServiceSettings& settings,
-             const net::Address& listen, std::uint32_t seed, std::size_t most)
+             const net::Address& listen, std::uint32_t seed, std::size_t max_connections)
     : DeskFront(loop, terms, settings, seed),
-      most_(most),
+      max_connections_(max_connections),
       listener_(std::make_unique<net::Listener>(
           loop, listen,
-          net::Listener::Callbacks{[this] { return associations_.size() < most_ || release_connection(); },
-                                   [this] { return release_connection(); },
-                                   [this](net::Descriptor fd) { came(std::move(fd)); }})) {
-  sweep();
+          net::Listener::Callbacks{
+              [this] { return associations_.size() < max_connections_ || release_connection(); },
+              [this] { return release_connection(); },
+              [this](net::Descriptor fd) { add_connection(std::move(fd)); }})) {
+  check_timeouts();
 }
 
 Front::~Front() {
-  if (swept_) loop_.cancel(*swept_);
+  if (timeout_timer_) loop_.cancel(*timeout_timer_);
 }
 
-void Front::came(net::Descriptor fd) {
+void Front::add_connection(net::Descriptor fd) {
   tally_.accepted += 1;
   auto made = std::make_unique<Association>(desk_.limits().message);
-  Association* const at = made.get();
-  at->number = next_++;
-  at->since = loop_.now();
-  associations_.emplace(at->number, std::move(made));
-  at->stream = std::make_unique<net::Stream>(
-      loop_, std::move(fd), true, desk_.limits().message, kMostOut,
-      net::Stream::Callbacks{nullptr, [this, at] { arrived(*at); }, [this, at] { drained(*at); },
-                             [this, at](bool) { close(*at); }});
-}
-
-// One operation after the other, but where more were agreed upon; and none for a client that does not read.
-bool Front::may_go_on(const Association& at) const {
-  if (at.stream->is_closed() || at.parting) return false;
-  if (at.stream->out().size() > kEnoughOut) return false;
-  return at.waiting.size() < (at.concurrent ? desk_.limits().operations : 1);
-}
-
-void Front::arrived(Association& at) {
-  net::RingBuffer& in = at.stream->in();
-  if (at.parting) return in.clear();
-  if (!at.held.empty() && may_go_on(at)) {
-    message(at, std::exchange(at.held, {}));
-    if (at.stream->is_closed() || at.parting) return;
-  }
-  // One message is read ahead of its turn, so that a cancel or a close gets through while an operation is
-  // out.
-  while (!in.empty() && at.held.empty()) {
-    if (!at.scanner.begun()) at.first_byte = loop_.now();
+  Association* const association = made.get();
+  association->number = next_number_++;
+  association->since = loop_.now();
+  associations_.emplace(association->number, std::move(made));
+  association->stream = std::make_unique<net::Stream>(
+      loop_, std::move(fd), true, desk_.limits().message, kMaxOutputBytes,
+      net::Stream::Callbacks{nullptr, [this, association] { on_data_received(*association); },
+                             [this, association] { on_output_written(*association); },
+                             [this, association](bool) { close(*association); }});
+}
+
+// Operations run one after the other unless concurrent ones were negotiated. None begins for a client that
+// does not read its responses.
+bool Front::may_begin_operation(const Association& association) const {
+  if (association.stream->is_closed() || association.is_closing) return false;
+  if (association.stream->out().size() > kMaxUnreadBytes) return false;
+  return association.pending.size() < (association.concurrent ? desk_.limits().operations : 1);
+}
+
+void Front::on_data_received(Association& association) {
+  net::RingBuffer& in = association.stream->in();
+  if (association.is_closing) return in.clear();
+  if (!association.deferred_message.empty() && may_begin_operation(association)) {
+    on_message(association, std::exchange(association.deferred_message, {}));
+    if (association.stream->is_closed() || association.is_closing) return;
+  }
+  // One message is read ahead, so that a cancel or a close is handled while an operation is pending.
+  while (!in.empty() && association.deferred_message.empty()) {
+    if (!association.scanner.begun()) association.first_byte_at = loop_.now();
     const std::string_view bytes = in.front();
-    const std::size_t used = at.scanner.take(bytes);
-    at.bytes.append(bytes.substr(0, used));
+    const std::size_t used = association.scanner.take(bytes);
+    association.partial_message.append(bytes.substr(0, used));
     in.consume(used);
-    if (at.scanner.state() == BerScanner::State::bad) {
+    if (association.scanner.state() == BerScanner::State::bad) {
       tally_.malformed += 1;
-      return end(at, Z_Close_protocolError, at.scanner.complaint());
+      return send_close(association, Z_Close_protocolError, association.scanner.complaint());
     }
-    if (at.scanner.state() != BerScanner::State::done) continue;
-    at.scanner.restart();
-    std::string whole = std::exchange(at.bytes, {});
-    if (!may_go_on(at) && !urgent(whole)) {
-      at.held = std::move(whole);
+    if (association.scanner.state() != BerScanner::State::done) continue;
+    association.scanner.restart();
+    std::string whole = std::exchange(association.partial_message, {});
+    if (!may_begin_operation(association) && !is_urgent(whole)) {
+      association.deferred_message = std::move(whole);
       return;
     }
-    message(at, whole);
-    if (at.stream->is_closed() || at.parting) return;
+    on_message(association, whole);
+    if (association.stream->is_closed() || association.is_closing) return;
   }
 }
 
-// What waited until an operation was done, or until the client had read; after everyone else's turn.
-void Front::read_on(Association& at) {
-  loop_.call_at(loop_.now(), [this, number = at.number, there = std::weak_ptr(there_)] {
-    if (there.expired()) return;
+// Handles deferred messages, and what has been received meanwhile, after the events of other connections.
+void Front::schedule_reading(Association& association) {
+  loop_.call_at(loop_.now(), [this, number = association.number, alive = std::weak_ptr(alive_)] {
+    if (alive.expired()) return;
     const auto found = associations_.find(number);
     if (found == associations_.end()) return;
     Association& next = *found->second;  // may be closed below, but is destroyed only after the turn
-    arrived(next);
+    on_data_received(next);
     next.stream->resume_reading();
   });
 }
 
-void Front::message(Association& at, const std::string& bytes) {
+void Front::on_message(Association& association, const std::string& bytes) {
   tally_.messages += 1;
-  at.since = loop_.now();
+  association.since = loop_.now();
   const Odr odr = make_odr(ODR_DECODE);
   std::string copy = bytes;  // YAZ wants it writable
   odr_setbuf(odr.get(), copy.data(), static_cast<int>(copy.size()), 0);
@@ -268,56 +272,57 @@
     tally_.malformed += 1;
     static log::RateLimitedEvent throttled(log::Level::info, "z3950.malformed");
     throttled.write({{"bytes", bytes.size()}});
-    return end(at, Z_Close_protocolError, "a message that cannot be decoded");
+    return send_close(association, Z_Close_protocolError, "a message that cannot be decoded");
   }
-  if (at.initialised != (apdu->which != Z_APDU_initRequest) && apdu->which != Z_APDU_close) {
+  if (association.initialised != (apdu->which != Z_APDU_initRequest) && apdu->which != Z_APDU_close) {
     tally_.out_of_order += 1;
-    return end(at, Z_Close_protocolError, at.initialised ? "a second Init" : "an Init comes first");
+    return send_close(association, Z_Close_protocolError,
+                      association.initialised ? "a second Init" : "an Init comes first");
   }
   desk_.clock(loop_.now());
-  if (at.session != 0) desk_.heard(at.session);
+  if (association.session != 0) desk_.heard(association.session);
   switch (apdu->which) {
     case Z_APDU_initRequest:
-      return init(at, *apdu);
+      return init(association, *apdu);
     case Z_APDU_searchRequest:
-      search_request(at, *apdu);
+      search_request(association, *apdu);
       break;
     case Z_APDU_presentRequest:
-      present_request(at, *apdu);
+      present_request(association, *apdu);
       break;
     case Z_APDU_scanRequest:
-      scan_request(at, *apdu);
+      scan_request(association, *apdu);
       break;
     case Z_APDU_sortRequest:
-      sort_request(at, *apdu);
+      sort_request(association, *apdu);
       break;
     case Z_APDU_deleteResultSetRequest:
-      delete_request(at, *apdu);
+      delete_request(association, *apdu);
       break;
     case Z_APDU_triggerResourceControlRequest:
-      cancel_request(at, *apdu);
+      cancel_request(association, *apdu);
       break;
     case Z_APDU_close:
       tally_.closed += 1;
-      return end(at, Z_Close_finished, "as asked");
+      return send_close(association, Z_Close_finished, "as asked");
     default:
-      return end(at, Z_Close_protocolError, "a service that was not agreed upon");
+      return send_close(association, Z_Close_protocolError, "a service that was not agreed upon");
   }
   pump();
 }
 
-void Front::init(Association& at, const Z_APDU& apdu) {
+void Front::init(Association& association, const Z_APDU& apdu) {
   const Z_InitRequest& request = *apdu.u.initRequest;
-  const auto session = parting_ ? std::nullopt : desk_.open();
+  const auto session = closes_after_answers_ ? std::nullopt : desk_.open();
   const Odr odr = make_odr(ODR_ENCODE);
   Z_APDU* const out = zget_APDU(odr.get(), Z_APDU_initResponse);
   Z_InitResponse& response = *out->u.initResponse;
   response.referenceId = put_reference(odr.get(), reference(request.referenceId));
   const auto most = static_cast<std::int64_t>(desk_.limits().answer);
-  at.preferred = std::clamp<std::int64_t>(*request.preferredMessageSize, kLeastMessage, most);
-  at.exceptional = std::clamp<std::int64_t>(*request.maximumRecordSize, at.preferred, most);
-  *response.preferredMessageSize = at.preferred;
-  *response.maximumRecordSize = at.exceptional;
+  association.preferred = std::clamp<std::int64_t>(*request.preferredMessageSize, kMinMessageBytes, most);
+  association.exceptional = std::clamp<std::int64_t>(*request.maximumRecordSize, association.preferred, most);
+  *response.preferredMessageSize = association.preferred;
+  *response.maximumRecordSize = association.exceptional;
   const auto wants = [&](int option) { return ODR_MASK_GET(request.options, option) != 0; };
   const auto offers = [&](int option) {
     if (!wants(option)) return false;
@@ -328,8 +333,8 @@
   for (const int option : {Z_Options_search, Z_Options_present, Z_Options_delSet, Z_Options_scan,
                            Z_Options_sort, Z_Options_namedResultSets, Z_Options_triggerResourceCtrl})
     offers(option);
-  at.concurrent = offers(Z_Options_concurrentOperations);
-  at.segments = offers(Z_Options_level_1Segmentation);
+  association.concurrent = offers(Z_Options_concurrentOperations);
+  association.segments = offers(Z_Options_level_1Segmentation);
   ODR_MASK_ZERO(response.protocolVersion);
   for (const int version : {Z_ProtocolVersion_1, Z_ProtocolVersion_2, Z_ProtocolVersion_3}) {
     if (ODR_MASK_GET(request.protocolVersion, version)) ODR_MASK_SET(response.protocolVersion, version);
@@ -337,36 +342,36 @@
   response.implementationName = odr_strdup(odr.get(), "marbledyke");
   *response.result = session ? 1 : 0;
   if (session) {
-    at.initialised = true;
-    at.session = *session;
-    by_session_[*session] = at.number;
+    association.initialised = true;
+    association.session = *session;
+    associations_by_session_[*session] = association.number;
   } else {
     tally_.refused += 1;
   }
-  put(at, *out);
+  send(association, *out);
   // An Init that is turned down ends the association, and the client may come again.
-  if (!session && !at.stream->is_closed()) {
-    at.parting = true;
-    drained(at);
+  if (!session && !association.stream->is_closed()) {
+    association.is_closing = true;
+    on_output_written(association);
   }
   pump();
 }
 
-void Front::wait_for(Association& at, search::Operation operation, Waiting&& waiting) {
-  by_operation_[operation] = at.number;
-  at.waiting.emplace(operation, std::move(waiting));
+void Front::add_pending(Association& association, search::Operation operation, PendingOperation&& pending) {
+  associations_by_operation_[operation] = association.number;
+  association.pending.emplace(operation, std::move(pending));
 }
 
-void Front::search_request(Association& at, const Z_APDU& apdu) {
+void Front::search_request(Association& association, const Z_APDU& apdu) {
   const Z_SearchRequest& request = *apdu.u.searchRequest;
-  Waiting waiting;
-  waiting.kind = Z_APDU_searchRequest;
-  waiting.reference = reference(request.referenceId);
-  waiting.syntax = syntax_of(request.preferredRecordSyntax);
+  PendingOperation pending;
+  pending.kind = Z_APDU_searchRequest;
+  pending.reference = reference(request.referenceId);
+  pending.syntax = syntax_of(request.preferredRecordSyntax);
   search::SearchAsk ask;
   Diagnostic wrong;
   for (int i = 0; i < request.num_databaseNames; ++i) ask.databases.push_back(request.databaseNames[i]);
-  if (ask.databases.size() == 1) waiting.database = ask.databases.front();
+  if (ask.databases.size() == 1) pending.database = ask.databases.front();
   const search::Database* database =
       ask.databases.size() == 1 ? search::find(desk_.terms(), ask.databases.front()) : nullptr;
   if (ask.databases.size() != 1) {
@@ -402,50 +407,52 @@
   if (request.smallSetElementSetNames != nullptr &&
       request.smallSetElementSetNames->which == Z_ElementSetNames_generic)
     ask.schema = schema_of(request.smallSetElementSetNames->u.generic);
-  if (waiting.syntax == Syntax::unsupported && (ask.by_hits->small > 0 || ask.by_hits->medium > 0))
+  if (pending.syntax == Syntax::unsupported && (ask.by_hits->small > 0 || ask.by_hits->medium > 0))
     wrong = {Trouble::unsupported_packing, ""};
   if (wrong.what != Trouble::none) {
     static log::RateLimitedEvent throttled(log::Level::info, "z3950.bad_search");
     throttled.write({{"diagnostic", bib1_of(wrong.what)}, {"why", wrong.detail}});
     Reply reply;
     reply.diagnostic = wrong;
-    return answer_search(at, waiting, reply);
+    return answer_search(association, pending, reply);
   }
-  const search::Operation operation = desk_.search(at.session, std::move(ask), {at.first_byte, std::nullopt});
-  wait_for(at, operation, std::move(waiting));
+  const search::Operation operation =
+      desk_.search(association.session, std::move(ask), {association.first_byte_at, std::nullopt});
+  add_pending(association, operation, std::move(pending));
 }
 
-void Front::present_request(Association& at, const Z_APDU& apdu) {
+void Front::present_request(Association& association, const Z_APDU& apdu) {
   const Z_PresentRequest& request = *apdu.u.presentRequest;
-  Waiting waiting;
-  waiting.kind = Z_APDU_presentRequest;
-  waiting.reference = reference(request.referenceId);
-  waiting.syntax = syntax_of(request.preferredRecordSyntax);
-  waiting.count = static_cast<int>(std::clamp<Odr_int>(*request.numberOfRecordsRequested, 0, 100'000));
+  PendingOperation pending;
+  pending.kind = Z_APDU_presentRequest;
+  pending.reference = reference(request.referenceId);
+  pending.syntax = syntax_of(request.preferredRecordSyntax);
+  pending.count = static_cast<int>(std::clamp<Odr_int>(*request.numberOfRecordsRequested, 0, 100'000));
   Diagnostic wrong;
   const auto schema = schema_of(request.recordComposition);
   if (const Diagnostic* its = std::get_if<Diagnostic>(&schema)) wrong = *its;
-  if (waiting.syntax == Syntax::unsupported) wrong = {Trouble::unsupported_packing, ""};
+  if (pending.syntax == Syntax::unsupported) wrong = {Trouble::unsupported_packing, ""};
   if (request.num_ranges > 0) wrong = {Trouble::unsupported_operation, "additional ranges"};
   if (wrong.what != Trouble::none) {
     Reply reply;
     reply.diagnostic = wrong;
-    return answer_present(at, waiting, reply);
+    return answer_present(association, pending, reply);
   }
   search::PresentAsk ask;
   ask.set = text(request.resultSetId);
   if (ask.set.empty()) ask.set = "default";
   ask.first = static_cast<int>(std::clamp<Odr_int>(*request.resultSetStartPoint, 0, 1'000'000'000));
-  ask.count = waiting.count;
+  ask.count = pending.count;
   ask.schema = std::get<std::string>(schema);
-  wait_for(at, desk_.present(at.session, ask, {at.first_byte, std::nullopt}), std::move(waiting));
+  add_pending(association, desk_.present(association.session, ask, {association.first_byte_at, std::nullopt}),
+              std::move(pending));
 }
 
-void Front::scan_request(Association& at, const Z_APDU& apdu) {
+void Front::scan_request(Association& association, const Z_APDU& apdu) {
   const Z_ScanRequest& request = *apdu.u.scanRequest;
-  Waiting waiting;
-  waiting.kind = Z_APDU_scanRequest;
-  waiting.reference = reference(request.referenceId);
+  PendingOperation pending;
+  pending.kind = Z_APDU_scanRequest;
+  pending.reference = reference(request.referenceId);
   Diagnostic wrong;
   search::ScanAsk ask;
   ask.database = request.num_databaseNames == 1 ? text(request.databaseNames[0]) : std::string();
@@ -470,39 +477,41 @@
   if (wrong.what != Trouble::none) {
     Reply reply;
     reply.diagnostic = wrong;
-    return answer_scan(at, waiting, reply);
+    return answer_scan(association, pending, reply);
   }
-  wait_for(at, desk_.scan(at.session, ask, {at.first_byte, std::nullopt}), std::move(waiting));
+  add_pending(association, desk_.scan(association.session, ask, {association.first_byte_at, std::nullopt}),
+              std::move(pending));
 }
 
-void Front::sort_request(Association& at, const Z_APDU& apdu) {
+void Front::sort_request(Association& association, const Z_APDU& apdu) {
   const Z_SortRequest& request = *apdu.u.sortRequest;
-  Waiting waiting;
-  waiting.kind = Z_APDU_sortRequest;
-  waiting.reference = reference(request.referenceId);
+  PendingOperation pending;
+  pending.kind = Z_APDU_sortRequest;
+  pending.reference = reference(request.referenceId);
   Reply reply;
   if (request.num_inputResultSetNames != 1) {
     reply.diagnostic = {Trouble::unsupported_sort, "one set at a time"};
-    return answer_sort(at, waiting, reply);
+    return answer_sort(association, pending, reply);
   }
   // Keys are named by the indexes of the set's database.
-  const search::Database* database = desk_.database_of(at.session, text(request.inputResultSetNames[0]));
+  const search::Database* database =
+      desk_.database_of(association.session, text(request.inputResultSetNames[0]));
   if (database == nullptr) {
     reply.diagnostic = {Trouble::unknown_set, text(request.inputResultSetNames[0])};
-    return answer_sort(at, waiting, reply);
+    return answer_sort(association, pending, reply);
   }
   const auto keys = read_sort(*request.sortSequence, *database);
   if (const Diagnostic* wrong = std::get_if<Diagnostic>(&keys)) {
     reply.diagnostic = *wrong;
-    return answer_sort(at, waiting, reply);
+    return answer_sort(association, pending, reply);
   }
-  wait_for(at,
-           desk_.sort(at.session, text(request.inputResultSetNames[0]), text(request.sortedResultSetName),
-                      std::get<std::vector<search::SortKey>>(keys)),
-           std::move(waiting));
+  add_pending(association,
+              desk_.sort(association.session, text(request.inputResultSetNames[0]),
+                         text(request.sortedResultSetName), std::get<std::vector<search::SortKey>>(keys)),
+              std::move(pending));
 }
 
-void Front::delete_request(Association& at, const Z_APDU& apdu) {
+void Front::delete_request(Association& association, const Z_APDU& apdu) {
   const Z_DeleteResultSetRequest& request = *apdu.u.deleteResultSetRequest;
   const Odr odr = make_odr(ODR_ENCODE);
   Z_APDU* const out = zget_APDU(odr.get(), Z_APDU_deleteResultSetResponse);
@@ -510,7 +519,7 @@
   response.referenceId = put_reference(odr.get(), reference(request.referenceId));
   *response.deleteOperationStatus = Z_DeleteStatus_success;
   if (*request.deleteFunction == Z_DeleteResultSetRequest_all) {
-    desk_.remove_all(at.session);
+    desk_.remove_all(association.session);
   } else {
     auto* list = made<Z_ListStatuses>(odr.get());
     list->num = request.num_resultSetList;
@@ -519,7 +528,7 @@
     for (int i = 0; i < request.num_resultSetList; ++i) {
       auto* one = made<Z_ListStatus>(odr.get());
       one->id = odr_strdup(odr.get(), request.resultSetList[i]);
-      const bool there = desk_.remove(at.session, request.resultSetList[i]);
+      const bool there = desk_.remove(association.session, request.resultSetList[i]);
       one->status =
           odr_intdup(odr.get(), there ? Z_DeleteStatus_success : Z_DeleteStatus_resultSetDidNotExist);
       if (!there) *response.deleteOperationStatus = Z_DeleteStatus_notAllRequestedResultSetsDeleted;
@@ -527,54 +536,55 @@
     }
     response.deleteListStatuses = list;
   }
-  put(at, *out);
+  send(association, *out);
 }
 
-// The operation of that reference is given up; its own response says so.
-void Front::cancel_request(Association& at, const Z_APDU& apdu) {
+// Abandons the operation with the stated reference; its own response says so.
+void Front::cancel_request(Association& association, const Z_APDU& apdu) {
   const Z_TriggerResourceControlRequest& request = *apdu.u.triggerResourceControlRequest;
   if (*request.requestedAction != Z_TriggerResourceControlRequest_cancel) return;
   const auto id = reference(request.referenceId);
-  for (auto one = at.waiting.begin(); one != at.waiting.end(); ++one) {
+  for (auto one = association.pending.begin(); one != association.pending.end(); ++one) {
     if (id && one->second.reference != id) continue;
     const search::Operation operation = one->first;
-    const Waiting waiting = std::move(one->second);
-    at.waiting.erase(one);
-    by_operation_.erase(operation);
+    const PendingOperation pending = std::move(one->second);
+    association.pending.erase(one);
+    associations_by_operation_.erase(operation);
     desk_.abandon(operation);
     tally_.cancelled += 1;
     Reply reply;
     reply.diagnostic = {Trouble::unavailable, "cancelled"};
-    if (waiting.kind == Z_APDU_presentRequest) return answer_present(at, waiting, reply);
-    if (waiting.kind == Z_APDU_scanRequest) return answer_scan(at, waiting, reply);
-    return answer_search(at, waiting, reply);
+    if (pending.kind == Z_APDU_presentRequest) return answer_present(association, pending, reply);
+    if (pending.kind == Z_APDU_scanRequest) return answer_scan(association, pending, reply);
+    return answer_search(association, pending, reply);
   }
 }
 
 void Front::replied(Reply&& reply) {
-  const auto owner = by_operation_.find(reply.operation);
-  if (owner == by_operation_.end()) return;
-  Association& at = *associations_.at(owner->second);
-  by_operation_.erase(owner);
-  const auto found = at.waiting.find(reply.operation);
-  const Waiting waiting = std::move(found->second);
-  at.waiting.erase(found);
-  switch (waiting.kind) {
+  const auto owner = associations_by_operation_.find(reply.operation);
+  if (owner == associations_by_operation_.end()) return;
+  Association& association = *associations_.at(owner->second);
+  associations_by_operation_.erase(owner);
+  const auto found = association.pending.find(reply.operation);
+  const PendingOperation pending = std::move(found->second);
+  association.pending.erase(found);
+  switch (pending.kind) {
     case Z_APDU_searchRequest:
-      answer_search(at, waiting, reply);
+      answer_search(association, pending, reply);
       break;
     case Z_APDU_presentRequest:
-      answer_present(at, waiting, reply);
+      answer_present(association, pending, reply);
       break;
     case Z_APDU_scanRequest:
-      answer_scan(at, waiting, reply);
+      answer_scan(association, pending, reply);
       break;
     default:
-      answer_sort(at, waiting, reply);
+      answer_sort(association, pending, reply);
   }
-  if (at.stream->is_closed() || at.parting) return;
-  if (parting_ && at.waiting.empty()) return end(at, Z_Close_shutdown, "this gatherer stops");
-  read_on(at);
+  if (association.stream->is_closed() || association.is_closing) return;
+  if (closes_after_answers_ && association.pending.empty())
+    return send_close(association, Z_Close_shutdown, "this gatherer stops");
+  schedule_reading(association);
 }
 
 namespace {
@@ -615,11 +625,11 @@
 
 }  // namespace
 
-void Front::answer_search(Association& at, const Waiting& waiting, const Reply& reply) {
+void Front::answer_search(Association& association, const PendingOperation& pending, const Reply& reply) {
   const Odr odr = make_odr(ODR_ENCODE);
   Z_APDU* const out = zget_APDU(odr.get(), Z_APDU_searchResponse);
   Z_SearchResponse& response = *out->u.searchResponse;
-  response.referenceId = put_reference(odr.get(), waiting.reference);
+  response.referenceId = put_reference(odr.get(), pending.reference);
   *response.resultCount = reply.hits;
   *response.numberOfRecordsReturned = 0;
   *response.nextResultSetPosition = reply.hits > 0 ? 1 : 0;
@@ -641,8 +651,8 @@
       auto* records = made<Z_Records>(odr.get());
       records->which = Z_Records_DBOSD;
       records->u.databaseOrSurDiagnostics = made<Z_NamePlusRecordList>(odr.get());
-      const std::size_t rest = put_records(odr.get(), reply, 0, waiting.syntax, at.preferred, at.exceptional,
-                                           *records->u.databaseOrSurDiagnostics);
+      const std::size_t rest = put_records(odr.get(), reply, 0, pending.syntax, association.preferred,
+                                           association.exceptional, *records->u.databaseOrSurDiagnostics);
       response.records = records;
       *response.numberOfRecordsReturned = static_cast<Odr_int>(rest);
       *response.nextResultSetPosition =
@@ -651,33 +661,33 @@
           odr.get(), rest < reply.records.size() ? Z_PresentStatus_partial_2 : Z_PresentStatus_success);
     }
   }
-  put(at, *out);
+  send(association, *out);
 }
 
-void Front::answer_present(Association& at, const Waiting& waiting, const Reply& reply) {
+void Front::answer_present(Association& association, const PendingOperation& pending, const Reply& reply) {
   std::size_t from = 0;
   // Level 1: as many segments as it takes, then the response with what is left.
-  while (at.segments && reply.diagnostic.what == Trouble::none && from < reply.records.size()) {
+  while (association.segments && reply.diagnostic.what == Trouble::none && from < reply.records.size()) {
     const Odr odr = make_odr(ODR_ENCODE);
     Z_NamePlusRecordList list{};
-    const std::size_t next =
-        put_records(odr.get(), reply, from, waiting.syntax, at.preferred, at.exceptional, list);
+    const std::size_t next = put_records(odr.get(), reply, from, pending.syntax, association.preferred,
+                                         association.exceptional, list);
     if (next >= reply.records.size()) break;
     Z_APDU* const out = zget_APDU(odr.get(), Z_APDU_segmentRequest);
     Z_Segment& segment = *out->u.segmentRequest;
-    segment.referenceId = put_reference(odr.get(), waiting.reference);
+    segment.referenceId = put_reference(odr.get(), pending.reference);
     *segment.numberOfRecordsReturned = list.num_records;
     segment.num_segmentRecords = list.num_records;
     segment.segmentRecords = list.records;
     tally_.segments += 1;
-    put(at, *out);
-    if (at.stream->is_closed()) return;
+    send(association, *out);
+    if (association.stream->is_closed()) return;
     from = next;
   }
   const Odr odr = make_odr(ODR_ENCODE);
   Z_APDU* const out = zget_APDU(odr.get(), Z_APDU_presentResponse);
   Z_PresentResponse& response = *out->u.presentResponse;
-  response.referenceId = put_reference(odr.get(), waiting.reference);
+  response.referenceId = put_reference(odr.get(), pending.reference);
   *response.numberOfRecordsReturned = 0;
   *response.nextResultSetPosition = reply.next;
   if (reply.diagnostic.what != Trouble::none) {
@@ -687,28 +697,28 @@
     auto* records = made<Z_Records>(odr.get());
     records->which = Z_Records_DBOSD;
     records->u.databaseOrSurDiagnostics = made<Z_NamePlusRecordList>(odr.get());
-    const std::size_t rest = put_records(odr.get(), reply, from, waiting.syntax, at.preferred, at.exceptional,
-                                         *records->u.databaseOrSurDiagnostics);
+    const std::size_t rest = put_records(odr.get(), reply, from, pending.syntax, association.preferred,
+                                         association.exceptional, *records->u.databaseOrSurDiagnostics);
     response.records = records;
     *response.numberOfRecordsReturned = static_cast<Odr_int>(rest);
     if (rest < reply.records.size()) {
       *response.presentStatus = Z_PresentStatus_partial_2;
       *response.nextResultSetPosition = reply.records[rest].position;
-    } else if (static_cast<int>(reply.records.size()) < waiting.count && reply.next > 0) {
+    } else if (static_cast<int>(reply.records.size()) < pending.count && reply.next > 0) {
       *response.presentStatus =
           Z_PresentStatus_partial_4;  // fewer than asked: as many as one answer may hold
     } else {
       *response.presentStatus = Z_PresentStatus_success;
     }
   }
-  put(at, *out);
+  send(association, *out);
 }
 
-void Front::answer_scan(Association& at, const Waiting& waiting, const Reply& reply) {
+void Front::answer_scan(Association& association, const PendingOperation& pending, const Reply& reply) {
   const Odr odr = make_odr(ODR_ENCODE);
   Z_APDU* const out = zget_APDU(odr.get(), Z_APDU_scanResponse);
   Z_ScanResponse& response = *out->u.scanResponse;
-  response.referenceId = put_reference(odr.get(), waiting.reference);
+  response.referenceId = put_reference(odr.get(), pending.reference);
   const bool failed = reply.diagnostic.what != Trouble::none;
   *response.scanStatus = failed ? Z_Scan_failure : !reply.whole ? Z_Scan_partial_4 : Z_Scan_success;
   *response.numberOfEntriesReturned = static_cast<Odr_int>(reply.terms.size());
@@ -740,14 +750,14 @@
     entries->nonsurrogateDiagnostics = diagnostics;
   }
   response.entries = entries;
-  put(at, *out);
+  send(association, *out);
 }
 
-void Front::answer_sort(Association& at, const Waiting& waiting, const Reply& reply) {
+void Front::answer_sort(Association& association, const PendingOperation& pending, const Reply& reply) {
   const Odr odr = make_odr(ODR_ENCODE);
   Z_APDU* const out = zget_APDU(odr.get(), Z_APDU_sortResponse);
   Z_SortResponse& response = *out->u.sortResponse;
-  response.referenceId = put_reference(odr.get(), waiting.reference);
+  response.referenceId = put_reference(odr.get(), pending.reference);
   const bool failed = reply.diagnostic.what != Trouble::none;
   *response.sortStatus = failed ? Z_SortResponse_failure : Z_SortResponse_success;
   if (failed) {
@@ -756,94 +766,99 @@
     response.diagnostics[0] = zget_DiagRec(odr.get(), bib1_of(reply.diagnostic.what),
                                            addition(reply.diagnostic, reply.come_back).c_str());
   }
-  put(at, *out);
+  send(association, *out);
 }
 
-void Front::put(Association& at, Z_APDU& apdu) {
+void Front::send(Association& association, Z_APDU& apdu) {
   const std::string bytes = encoded(make_odr(ODR_ENCODE).get(), &apdu);
-  if (!check_invariant(!bytes.empty(), "an APDU of ours can be encoded")) return close(at);
-  // What does not fit is not sent in part: the association ends, and the client can tell.
-  if (!at.stream->out().append(bytes)) return close(at);
-  at.since = loop_.now();
-  at.stream->flush();
+  if (!check_invariant(!bytes.empty(), "an APDU of ours can be encoded")) return close(association);
+  // A response that does not fit the buffer closes the connection, which the client recognises as a failure.
+  if (!association.stream->out().append(bytes)) return close(association);
+  association.since = loop_.now();
+  association.stream->flush();
 }
 
-void Front::end(Association& at, int reason, const char* why) {
-  if (at.parting) return;
+void Front::send_close(Association& association, int reason, const char* why) {
+  if (association.is_closing) return;
   const Odr odr = make_odr(ODR_ENCODE);
   Z_APDU* const out = zget_APDU(odr.get(), Z_APDU_close);
   *out->u.close->closeReason = reason;
   out->u.close->diagnosticInformation = odr_strdup(odr.get(), why);
-  at.parting = true;
-  put(at, *out);
-  if (!at.stream->is_closed() && at.stream->out().empty()) drained(at);
+  association.is_closing = true;
+  send(association, *out);
+  if (!association.stream->is_closed() && association.stream->out().empty()) on_output_written(association);
 }
 
-void Front::drained(Association& at) {
-  at.since = loop_.now();
-  if (!at.parting) return read_on(at);
-  at.stream->in().clear();
-  at.stream->shutdown_write();
-  at.stream->resume_reading();
+void Front::on_output_written(Association& association) {
+  association.since = loop_.now();
+  if (!association.is_closing) return schedule_reading(association);
+  association.stream->in().clear();
+  association.stream->shutdown_write();
+  association.stream->resume_reading();
 }
 
-void Front::close(Association& at) {
-  at.stream->close();
-  const auto found = associations_.find(at.number);
+void Front::close(Association& association) {
+  association.stream->close();
+  const auto found = associations_.find(association.number);
   if (found == associations_.end()) return;
-  for (const auto& [operation, waiting] : at.waiting) by_operation_.erase(operation);
-  if (at.session != 0) {
-    by_session_.erase(at.session);
-    desk_.close(at.session);  // with what it has under way
+  for (const auto& [operation, pending] : association.pending) associations_by_operation_.erase(operation);
+  if (association.session != 0) {
+    associations_by_session_.erase(association.session);
+    desk_.close(association.session);  // with what it has under way
   }
-  graves_.push_back(std::move(found->second));
+  closed_.push_back(std::move(found->second));
   associations_.erase(found);
   if (listener_) listener_->resume();
   pump();
 }
 
 void Front::session_over(search::Session session) {
-  const auto at = by_session_.find(session);
-  if (at == by_session_.end()) return desk_.close(session);
+  const auto at = associations_by_session_.find(session);
+  if (at == associations_by_session_.end()) return desk_.close(session);
   tally_.silent += 1;
-  end(*associations_.at(at->second), Z_Close_lackOfActivity, "nothing was asked for long");
+  send_close(*associations_.at(at->second), Z_Close_lackOfActivity, "nothing was asked for long");
 }
 
-// Every wait on a client has its limit here; those of whole sessions are the desk's.
-void Front::sweep() {
+// Enforces the limits on every wait for a client: for the Init, for the end of a message, for reading a
+// response, and for closing after the last one. Whole sessions are limited by the desk.
+void Front::check_timeouts() {
   const Duration now = loop_.now();
-  std::vector<Association*> over, unended, unread;
-  for (const auto& [number, at] : associations_) {
-    if (at->parting) {
-      if (now >= at->since + settings_.connect_timeout) over.push_back(at.get());
-    } else if (at->scanner.begun() && now >= at->first_byte + kSaysNothing) {
-      unended.push_back(at.get());
-    } else if (!at->initialised && now >= at->since + kSaysNothing) {
-      over.push_back(at.get());
-    } else if (!at->stream->out().empty() && now >= at->since + settings_.max_route_timeout) {
-      unread.push_back(at.get());
+  std::vector<Association*> expired, incomplete, unread;
+  for (const auto& [number, association] : associations_) {
+    if (association->is_closing) {
+      if (now >= association->since + settings_.connect_timeout) expired.push_back(association.get());
+    } else if (association->scanner.begun() && now >= association->first_byte_at + kRequestTimeout) {
+      incomplete.push_back(association.get());
+    } else if (!association->initialised && now >= association->since + kRequestTimeout) {
+      expired.push_back(association.get());
+    } else if (!association->stream->out().empty() &&
+               now >= association->since + settings_.max_route_timeout) {
+      unread.push_back(association.get());
     }
   }
-  tally_.silent += over.size();
-  for (Association* at : unended) end(*at, Z_Close_protocolError, "the message does not end");
-  for (Association* at : unread) close(*at);
-  for (Association* at : over) close(*at);
-  swept_ = loop_.call_at(now + kSweep, [this] { sweep(); });
+  tally_.silent += expired.size();
+  for (Association* association : incomplete)
+    send_close(*association, Z_Close_protocolError, "the message does not end");
+  for (Association* association : unread) close(*association);
+  for (Association* association : expired) close(*association);
+  timeout_timer_ = loop_.call_at(now + kTimeoutCheckInterval, [this] { check_timeouts(); });
 }
 
-// Who has said nothing first, then whoever has been idle longest: an idle session can be opened again.
+// Closes the connection that is least harmful to close: one that closes anyway, then one without an Init,
+// then an idle session, which can be opened again; among equals the one that has been so for longest.
 bool Front::release_connection() {
-  Association* best = nullptr;
-  const auto spared = [](const Association& at) {
-    return std::make_pair(at.parting ? 0 : !at.initialised ? 1 : 2, at.since);
+  const auto rank = [](const Association& association) {
+    return std::make_pair(association.is_closing ? 0 : !association.initialised ? 1 : 2, association.since);
   };
-  for (const auto& [number, at] : associations_) {
-    if (!at->waiting.empty() || (at->initialised && !at->stream->out().empty())) continue;
-    if (best == nullptr || spared(*at) < spared(*best)) best = at.get();
+  Association* first = nullptr;
+  for (const auto& [number, association] : associations_) {
+    if (!association->pending.empty() || (association->initialised && !association->stream->out().empty()))
+      continue;
+    if (first == nullptr || rank(*association) < rank(*first)) first = association.get();
   }
-  if (best == nullptr) return false;
+  if (first == nullptr) return false;
   tally_.evicted += 1;
-  close(*best);
+  close(*first);
   return true;
 }
 
@@ -852,23 +867,24 @@
 }
 
 void Front::close_after_answers() {
-  parting_ = true;
+  closes_after_answers_ = true;
   std::vector<Association*> idle;
-  for (const auto& [number, at] : associations_) {
-    if (at->waiting.empty() && !at->parting) idle.push_back(at.get());
+  for (const auto& [number, association] : associations_) {
+    if (association->pending.empty() && !association->is_closing) idle.push_back(association.get());
   }
-  for (Association* at : idle) end(*at, Z_Close_shutdown, "this gatherer stops");
+  for (Association* association : idle) send_close(*association, Z_Close_shutdown, "this gatherer stops");
 }
 
 void Front::close_idle(Duration since) {
   std::vector<Association*> idle;
-  for (const auto& [number, at] : associations_) {
-    if (at->waiting.empty() && !at->parting && at->since < since) idle.push_back(at.get());
+  for (const auto& [number, association] : associations_) {
+    if (association->pending.empty() && !association->is_closing && association->since < since)
+      idle.push_back(association.get());
   }
-  for (Association* at : idle) end(*at, Z_Close_shutdown, "this gatherer stops");
+  for (Association* association : idle) send_close(*association, Z_Close_shutdown, "this gatherer stops");
 }
 
-void Front::destroy_closed() { graves_.clear(); }
+void Front::destroy_closed() { closed_.clear(); }
 
 void Front::log_totals() const {
   log::event(log::Level::info, "z3950.totals",
--- a/src/z3950/front.h
+++ b/src/z3950/front.h
@@ -1,6 +1,6 @@
-// Z39.50 (ISO 23950) version 2 and 3 over TCP: sessions of searching clients, their operations in turn or,
-// where that was negotiated, side by side. Messages are coded by YAZ; connections, limits and states are
-// here.
+// The front for Z39.50 (ISO 23950), versions 2 and 3, over TCP: sessions of searching clients, whose
+// operations run one after the other or, where that was negotiated, side by side. YAZ encodes and decodes the
+// messages; connections, limits and session states are managed here.
 #pragma once
 
 #include <map>
@@ -21,12 +21,12 @@
 
 class Front final : public search::DeskFront {
  public:
-  // As of sru::Front.
+  // As in sru::Front.
   Front(net::Loop& loop, const search::Terms& terms, const config::ServiceSettings& settings,
-        const net::Address& listen, std::uint32_t seed, std::size_t most);
+        const net::Address& listen, std::uint32_t seed, std::size_t max_connections);
   ~Front() override;
 
-  void announce_stop() override {}  // this protocol has no word for it; a Close follows when it is time
+  void announce_stop() override {}  // the protocol has no such message; a Close follows later
   void stop_accepting() override;
   void close_after_answers() override;
   void close_idle(Duration since) override;
@@ -37,6 +37,7 @@
 
   void log_totals() const override;
 
+  // Counts since the start.
   struct Tally {
     std::uint64_t accepted = 0, refused = 0, messages = 0, malformed = 0, out_of_order = 0, silent = 0,
                   evicted = 0, closed = 0, cancelled = 0, segments = 0;
@@ -45,44 +46,44 @@
 
  private:
   struct Association;
-  struct Waiting;
-  void came(net::Descriptor fd);
-  void arrived(Association& at);
-  void read_on(Association& at);
-  bool may_go_on(const Association& at) const;
-  void message(Association& at, const std::string& bytes);
-  void init(Association& at, const Z_APDU& apdu);
-  void search_request(Association& at, const Z_APDU& apdu);
-  void present_request(Association& at, const Z_APDU& apdu);
-  void scan_request(Association& at, const Z_APDU& apdu);
-  void sort_request(Association& at, const Z_APDU& apdu);
-  void delete_request(Association& at, const Z_APDU& apdu);
-  void cancel_request(Association& at, const Z_APDU& apdu);
-  void wait_for(Association& at, search::Operation operation, Waiting&& waiting);
+  struct PendingOperation;
+  void add_connection(net::Descriptor fd);
+  void on_data_received(Association& association);
+  void schedule_reading(Association& association);
+  bool may_begin_operation(const Association& association) const;
+  void on_message(Association& association, const std::string& bytes);
+  void init(Association& association, const Z_APDU& apdu);
+  void search_request(Association& association, const Z_APDU& apdu);
+  void present_request(Association& association, const Z_APDU& apdu);
+  void scan_request(Association& association, const Z_APDU& apdu);
+  void sort_request(Association& association, const Z_APDU& apdu);
+  void delete_request(Association& association, const Z_APDU& apdu);
+  void cancel_request(Association& association, const Z_APDU& apdu);
+  void add_pending(Association& association, search::Operation operation, PendingOperation&& pending);
   void replied(search::Reply&& reply) override;
   void session_over(search::Session session) override;
-  void answer_search(Association& at, const Waiting& waiting, const search::Reply& reply);
-  void answer_present(Association& at, const Waiting& waiting, const search::Reply& reply);
-  void answer_scan(Association& at, const Waiting& waiting, const search::Reply& reply);
-  void answer_sort(Association& at, const Waiting& waiting, const search::Reply& reply);
-  void put(Association& at, Z_APDU& apdu);
-  void end(Association& at, int reason, const char* why);  // a Close, then the connection
-  void drained(Association& at);
-  void close(Association& at);
-  void sweep();
+  void answer_search(Association& association, const PendingOperation& pending, const search::Reply& reply);
+  void answer_present(Association& association, const PendingOperation& pending, const search::Reply& reply);
+  void answer_scan(Association& association, const PendingOperation& pending, const search::Reply& reply);
+  void answer_sort(Association& association, const PendingOperation& pending, const search::Reply& reply);
+  void send(Association& association, Z_APDU& apdu);
+  void send_close(Association& association, int reason, const char* why);  // then closes the connection
+  void on_output_written(Association& association);
+  void close(Association& association);
+  void check_timeouts();
 
-  std::size_t most_;
+  std::size_t max_connections_;
   std::unique_ptr<net::Listener> listener_;
   std::map<std::uint64_t, std::unique_ptr<Association>> associations_;
-  std::map<search::Session, std::uint64_t> by_session_;
-  std::map<search::Operation, std::uint64_t> by_operation_;
-  std::vector<std::unique_ptr<Association>> graves_;
-  std::uint64_t next_ = 1;
-  bool parting_ = false;
-  std::optional<net::Loop::Timer> swept_;
+  std::map<search::Session, std::uint64_t> associations_by_session_;
+  std::map<search::Operation, std::uint64_t> associations_by_operation_;
+  std::vector<std::unique_ptr<Association>> closed_;
+  std::uint64_t next_number_ = 1;
+  bool closes_after_answers_ = false;
+  std::optional<net::Loop::Timer> timeout_timer_;
   Tally tally_;
-  std::shared_ptr<const bool> there_ =
-      std::make_shared<const bool>(true);  // for timers that may outlive this
+  // Expires with this object, for timers that may outlive it.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
 
 }  // namespace marbledyke::z3950
