--- a/review/standins-2/common.h
+++ b/review/standins-2/common.h
@@ -490,6 +490,7 @@
   int slabs = 1, sets = 1, width = 1, overhead = 23000, most_open = 800, bundle = 16, attempts = 3;
   bool cancel = true, copies = false;
   std::string budget;  // of further sends, with a comma behind it
+  std::string telemetry = R"({"fields":["cpu","rps","waiting"],"how":"on_probe"})";
   std::string text() const {
     std::ostringstream out;
     const auto flag = [](bool value) { return value ? "true" : "false"; };
@@ -504,7 +505,7 @@
         << R"("replicas-of-me":1,"specifics":{"bundle-max":)" << bundle << R"(,"class-floor":)" << floors
         << R"(,"complete-from":)" << complete << R"(,"overhead":)" << overhead << R"(,"second-step":)" << second
         << R"(,"sets":)" << sets << R"(,"short-worth":)" << partial << R"(,"slabs":)" << slabs << R"(,"width":)"
-        << width << R"(},"telemetry":{"fields":["cpu","rps","waiting"],"how":"on_probe"},"tick":5000,"zone":0,)"
+        << width << R"(},"telemetry":)" << telemetry << R"(,"tick":5000,"zone":0,)"
         << R"("zones":["a","b"]})";
     return out.str();
   }
