--- a/review/standins-2/common.h
+++ b/review/standins-2/common.h
@@ -1,6 +1,6 @@
-// What the cases of review/6 to review/10 share: a record, processes started with the deploy file's command, and
-// small stand-ins for discovery, shard servers (frames or SRU) and HTTP clients on loopback. Blocking sockets, one
-// thread a connection; the C++ library and POSIX only.
+// What the cases of review/6 to review/10 share: a record, processes started with the deploy file's command,
+// and small stand-ins for discovery, shard servers (frames or SRU) and HTTP clients on loopback. Blocking
+// sockets, one thread a connection; the C++ library and POSIX only.
 #pragma once
 
 #include <arpa/inet.h>
@@ -49,7 +49,8 @@
 }
 
 inline void sleep_until(double ms) {
-  while (now_ms() < ms) usleep(static_cast<useconds_t>(std::max(200.0, std::min((ms - now_ms()) * 1000, 50000.0))));
+  while (now_ms() < ms)
+    usleep(static_cast<useconds_t>(std::max(200.0, std::min((ms - now_ms()) * 1000, 50000.0))));
 }
 
 class Record {
@@ -132,7 +133,8 @@
   return true;
 }
 
-// More bytes into `into`, waiting until `until` (ms of the case): 1 bytes came, 0 the end, -1 a reset, -2 the time.
+// More bytes into `into`, waiting until `until` (ms of the case): 1 bytes came, 0 the end, -1 a reset, -2 the
+// time.
 inline int receive(int fd, std::string& into, double until) {
   for (;;) {
     pollfd polled{fd, POLLIN, 0};
@@ -197,8 +199,9 @@
 }
 
 inline std::string http_answer(int status, const std::string& type, const std::string& body) {
-  return "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Other") + "\r\nContent-Type: " + type +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Other") +
+         "\r\nContent-Type: " + type + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 // One request on a connection of its own. Status 0: no whole answer by `until`.
@@ -336,8 +339,8 @@
   bool open() { return acceptor_.open(); }
   std::string address() const { return acceptor_.address(); }
 
-  void list(const std::string& name, const std::string& address, int group, const std::string& status = "ready",
-            long long since_ms = 0) {
+  void list(const std::string& name, const std::string& address, int group,
+            const std::string& status = "ready", long long since_ms = 0) {
     const std::lock_guard<std::mutex> lock(mutex_);
     version_ += 1;
     entries_[name] = {version_, "{\"name\":\"" + name + "\",\"address\":\"" + address +
@@ -390,7 +393,8 @@
 
 // Starts a command by /bin/sh from the repository's root, as the deploy file's commands are started.
 inline pid_t start(const std::string& root, const std::string& command,
-                   const std::vector<std::pair<std::string, std::string>>& variables, const std::string& log) {
+                   const std::vector<std::pair<std::string, std::string>>& variables,
+                   const std::string& log) {
   const pid_t pid = fork();
   if (pid != 0) {
     children().push_back(pid);
@@ -454,7 +458,8 @@
     signal(SIGPIPE, SIG_IGN);
   }
 
-  // Ends all that was started and gives the exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
+  // Ends all that was started and gives the exit status: 0 the rule held, 1 it was broken, 2 the case could
+  // not run.
   [[noreturn]] void finish(int status, const std::string& words) {
     const char* const what = status == 0 ? "HELD" : status == 1 ? "BROKEN" : "COULD NOT RUN";
     record.line("RESULT %s: %s", what, words.c_str());
@@ -495,26 +500,28 @@
     std::ostringstream out;
     const auto flag = [](bool value) { return value ? "true" : "false"; };
     out << R"({"categories":)" << categories
-        << R"(,"contract":{"ask-every":10000000,"cold":17000000,"cold-from":0.21,"drain-grace":500000,)" << budget
-        << R"("fall-multiple":2.0,"overload-for":1500000},)"
+        << R"(,"contract":{"ask-every":10000000,"cold":17000000,"cold-from":0.21,"drain-grace":500000,)"
+        << budget << R"("fall-multiple":2.0,"overload-for":1500000},)"
         << R"("limits":{"attempts-cap":)" << attempts << R"(,"cancel":)" << flag(cancel)
         << R"(,"conn-idle":15000000,"connect-timeout":250000,"max-open":)" << most_open
         << R"(,"max-retry-after":2000000,"probing":true,"retry-after":true,"second-copies":)" << flag(copies)
         << R"(,"streams-per-conn":100},)"
         << R"("prices":{"cross-zone":0.013,"handshake":0.02,"probe":0.024,"waste":0.16},"registry-mode":"ask",)"
         << R"("replicas-of-me":1,"specifics":{"bundle-max":)" << bundle << R"(,"class-floor":)" << floors
-        << R"(,"complete-from":)" << complete << R"(,"overhead":)" << overhead << R"(,"second-step":)" << second
-        << R"(,"sets":)" << sets << R"(,"short-worth":)" << partial << R"(,"slabs":)" << slabs << R"(,"width":)"
-        << width << R"(},"telemetry":)" << telemetry << R"(,"tick":5000,"zone":0,)"
+        << R"(,"complete-from":)" << complete << R"(,"overhead":)" << overhead << R"(,"second-step":)"
+        << second << R"(,"sets":)" << sets << R"(,"short-worth":)" << partial << R"(,"slabs":)" << slabs
+        << R"(,"width":)" << width << R"(},"telemetry":)" << telemetry << R"(,"tick":5000,"zone":0,)"
         << R"("zones":["a","b"]})";
     return out.str();
   }
 };
 
-inline std::string configuration(const std::string& name, const std::string& listen, const std::string& discovery,
-                                 const std::string& seed, const Settings& settings, int sockets = 1024) {
-  return "{\"name\":\"" + name + "\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"" +
-         seed + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + std::to_string(sockets) +
+inline std::string configuration(const std::string& name, const std::string& listen,
+                                 const std::string& discovery, const std::string& seed,
+                                 const Settings& settings, int sockets = 1024) {
+  return "{\"name\":\"" + name + "\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery +
+         "\",\"seed\":\"" + seed +
+         "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + std::to_string(sockets) +
          "},\"settings\":" + settings.text() + "}\n";
 }
 
--- a/review/standins-2/keyed_window.cpp
+++ b/review/standins-2/keyed_window.cpp
@@ -1,4 +1,5 @@
-// A burst of keyed requests to four sound servers that speak SRU; one of them dies under requests that have begun.
+// A burst of keyed requests to four sound servers that speak SRU; one of them dies under requests that have
+// begun.
 #include "servers.h"
 
 using namespace review;
@@ -48,30 +49,35 @@
   settings.overhead = 80000;
   settings.copies = true;
   settings.budget = R"("extra-floor":20,"extra-per-request":0.2,"resend-span":10000000,)";
-  test.write_file(test.work + "/config.json", configuration("n0", ip + ":" + std::to_string(http),
-                                                            discovery.address(), "8c1f30d27a5be964", settings));
+  test.write_file(test.work + "/config.json",
+                  configuration("n0", ip + ":" + std::to_string(http), discovery.address(),
+                                "8c1f30d27a5be964", settings));
   std::string speakers;
   for (int i = 1; i <= kServers; ++i)
     speakers += "<server name=\"leaf-" + std::to_string(i) + "\" speaks=\"sru\" database=\"clauses\"/>";
-  test.write_file(test.work + "/operator.xml",
-                  "<marbledyke xmlns=\"urn:marbledyke:operator:1\"><search><listen protocol=\"sru\" address=\"" + ip +
-                      ":" + std::to_string(sru) +
-                      "\"/><database name=\"clauses\" op-type=\"look\" deadline=\"8s\"><schema name=\"dc\" "
-                      "identifier=\"info:srw/schema/1/dc-v1.1\"/><index name=\"dc.title\" use=\"4\"/>"
-                      "<index name=\"order.amend\" use=\"8001\" op-type=\"amend\" scan=\"false\" sort=\"false\"/>"
-                      "</database></search><servers>" + speakers + "</servers></marbledyke>");
+  test.write_file(
+      test.work + "/operator.xml",
+      "<marbledyke xmlns=\"urn:marbledyke:operator:1\"><search><listen protocol=\"sru\" address=\"" + ip +
+          ":" + std::to_string(sru) +
+          "\"/><database name=\"clauses\" op-type=\"look\" deadline=\"8s\"><schema name=\"dc\" "
+          "identifier=\"info:srw/schema/1/dc-v1.1\"/><index name=\"dc.title\" use=\"4\"/>"
+          "<index name=\"order.amend\" use=\"8001\" op-type=\"amend\" scan=\"false\" sort=\"false\"/>"
+          "</database></search><servers>" +
+          speakers + "</servers></marbledyke>");
   start(test.root, test.search + " --operator " + test.work + "/operator.xml",
         {{"PROXY_CONFIG", test.work + "/config.json"}}, test.work + "/gatherer.log");
   if (!test.healthy(ip, http, now_ms() + 15000)) test.finish(2, "the gatherer did not come up");
   usleep(1000000);
   const auto search = [&](const std::string& query) {
-    return ask_http(ip, sru,
-                    "GET /clauses?version=1.2&operation=searchRetrieve&maximumRecords=1&x-deadline-ms=8000&query=" +
-                        escaped(query) + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
-                    now_ms() + 9000);
+    return ask_http(
+        ip, sru,
+        "GET /clauses?version=1.2&operation=searchRetrieve&maximumRecords=1&x-deadline-ms=8000&query=" +
+            escaped(query) + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+        now_ms() + 9000);
   };
   for (int i = 0; i < 8; ++i) {
-    if (search("dc.title any lease").status() != 200) test.finish(2, "a search before the burst was not answered");
+    if (search("dc.title any lease").status() != 200)
+      test.finish(2, "a search before the burst was not answered");
   }
 
   record.line("a burst of %d keyed requests, repeats of which are dropped for %.0f ms", kClients, kWindowMs);
@@ -113,12 +119,12 @@
       }
     }
   }
-  record.line("answered %d, refused %d, failed %d; sent once more %d, of these outside the window %d", answered.load(),
-              refused.load(), failed.load(), again, broken);
+  record.line("answered %d, refused %d, failed %d; sent once more %d, of these outside the window %d",
+              answered.load(), refused.load(), failed.load(), again, broken);
   if (answered.load() < kClients / 4) test.finish(2, "too few requests were answered");
   if (broken > 0)
     test.finish(1, std::to_string(broken) + " of " + std::to_string(again) +
-                       " keyed parts that may have run were sent again after the window of 1500 ms, " + worst +
-                       " after " + std::to_string(static_cast<int>(most)) + " ms");
+                       " keyed parts that may have run were sent again after the window of 1500 ms, " +
+                       worst + " after " + std::to_string(static_cast<int>(most)) + " ms");
   test.finish(0, std::to_string(again) + " parts were sent again, all within the window");
 }
--- a/review/standins-2/left_client.cpp
+++ b/review/standins-2/left_client.cpp
@@ -43,18 +43,21 @@
   settings.attempts = 4;
   settings.overhead = 80000;
   settings.budget = R"("extra-floor":20,"extra-per-request":0.3,"resend-span":10000000,)";
-  test.write_file(test.work + "/config.json", configuration("n0", ip + ":" + std::to_string(http),
-                                                            discovery.address(), "8c1f30d27a5be964", settings));
+  test.write_file(test.work + "/config.json",
+                  configuration("n0", ip + ":" + std::to_string(http), discovery.address(),
+                                "8c1f30d27a5be964", settings));
   std::string speakers;
   for (int i = 1; i <= kServers; ++i)
     speakers += "<server name=\"leaf-" + std::to_string(i) + "\" speaks=\"sru\" database=\"clauses\"/>";
-  test.write_file(test.work + "/operator.xml",
-                  "<marbledyke xmlns=\"urn:marbledyke:operator:1\"><search><listen protocol=\"sru\" address=\"" + ip +
-                      ":" + std::to_string(sru) +
-                      "\"/><database name=\"clauses\" op-type=\"look-up\" deadline=\"4s\"><schema name=\"dc\" "
-                      "identifier=\"info:srw/schema/1/dc-v1.1\"/><index name=\"dc.title\" use=\"4\"/>"
-                      "<index name=\"order.issue\" use=\"8000\" op-type=\"amend\" scan=\"false\" sort=\"false\"/>"
-                      "</database></search><servers>" + speakers + "</servers></marbledyke>");
+  test.write_file(
+      test.work + "/operator.xml",
+      "<marbledyke xmlns=\"urn:marbledyke:operator:1\"><search><listen protocol=\"sru\" address=\"" + ip +
+          ":" + std::to_string(sru) +
+          "\"/><database name=\"clauses\" op-type=\"look-up\" deadline=\"4s\"><schema name=\"dc\" "
+          "identifier=\"info:srw/schema/1/dc-v1.1\"/><index name=\"dc.title\" use=\"4\"/>"
+          "<index name=\"order.issue\" use=\"8000\" op-type=\"amend\" scan=\"false\" sort=\"false\"/>"
+          "</database></search><servers>" +
+          speakers + "</servers></marbledyke>");
   start(test.root, test.search + " --operator " + test.work + "/operator.xml",
         {{"PROXY_CONFIG", test.work + "/config.json"}}, test.work + "/gatherer.log");
   if (!test.healthy(ip, http, now_ms() + 15000)) test.finish(2, "the gatherer did not come up");
@@ -65,7 +68,8 @@
   };
   // One after the other, so that the gatherer knows how long a part takes.
   for (int i = 0; i < kBefore; ++i) {
-    if (ask_http(ip, sru, request("order.issue = contract-" + std::to_string(9000 + i)), now_ms() + 9000).status() != 200)
+    if (ask_http(ip, sru, request("order.issue = contract-" + std::to_string(9000 + i)), now_ms() + 9000)
+            .status() != 200)
       test.finish(2, "a request before was not answered");
   }
 
@@ -90,7 +94,8 @@
         return;
       }
       close(fd);
-      const bool good = got == 1 && answer.status() == 200 && answer.body.find("diagnostic/1/") == std::string::npos;
+      const bool good =
+          got == 1 && answer.status() == 200 && answer.body.find("diagnostic/1/") == std::string::npos;
       (good ? answered : others) += 1;
       record.line("client of %s is answered %d%s", contract.c_str(), answer.status(),
                   good ? "" : (", " + between(answer.body, "details>", "<")).c_str());
@@ -105,8 +110,8 @@
     for (const auto& [server, at] : arrivals[contract]) {
       if (at <= when + kGraceMs + kSlackMs) continue;
       broken += 1;
-      record.line("BROKEN: %s was begun at leaf-%d %.0f ms after its client had left", contract.c_str(), server,
-                  at - when);
+      record.line("BROKEN: %s was begun at leaf-%d %.0f ms after its client had left", contract.c_str(),
+                  server, at - when);
     }
   }
   record.line("answered %d, others %d, left %zu, begun for who had left %d", answered.load(), others.load(),
--- a/review/standins-2/load_report.cpp
+++ b/review/standins-2/load_report.cpp
@@ -33,8 +33,9 @@
   settings.overhead = 80000;
   settings.copies = true;
   settings.telemetry = R"({"fields":["waiting","rps"],"how":"inline"})";
-  test.write_file(test.work + "/config.json", configuration("n0", ip + ":" + std::to_string(http),
-                                                            discovery.address(), "8c1f30d27a5be964", settings));
+  test.write_file(test.work + "/config.json",
+                  configuration("n0", ip + ":" + std::to_string(http), discovery.address(),
+                                "8c1f30d27a5be964", settings));
   start(test.root, test.run, {{"PROXY_CONFIG", test.work + "/config.json"}}, test.work + "/gatherer.log");
   if (!test.healthy(ip, http, now_ms() + 15000)) test.finish(2, "the gatherer did not come up");
   usleep(1000000);
@@ -46,8 +47,8 @@
         "{\"slices\":[{\"slice\":" + std::to_string(asked % 4) + ",\"mass\":1.0}],\"filter\":\"c41e77d0\"}";
     return ask_http(ip, http,
                     "POST /api HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Request-Id: " + std::string(id) +
-                        "\r\nX-Class: look\r\nX-Deadline-Ms: 2000\r\nContent-Length: " + std::to_string(body.size()) +
-                        "\r\n\r\n" + body,
+                        "\r\nX-Class: look\r\nX-Deadline-Ms: 2000\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body,
                     now_ms() + 3000)
         .status();
   };
@@ -78,8 +79,8 @@
     if (asked % 50 == 0) record.line("answered %d, else %d, parts sent %d", answered, others, now_parts);
     usleep(40000);
   }
-  record.line("longest span with every multiget rejected and nothing sent: %.1f s, %d multigets", longest / 1000,
-              most_rejected);
+  record.line("longest span with every multiget rejected and nothing sent: %.1f s, %d multigets",
+              longest / 1000, most_rejected);
   if (longest > kSpanMs && most_rejected >= 15)
     test.finish(1, "the gatherer rejected all " + std::to_string(most_rejected) + " multigets for " +
                        std::to_string(static_cast<int>(longest / 1000)) +
--- a/review/standins-2/result_set.cpp
+++ b/review/standins-2/result_set.cpp
@@ -1,4 +1,5 @@
-// A client asks for the next page of its own result set after a planned restart; another client has searched since.
+// A client asks for the next page of its own result set after a planned restart; another client has searched
+// since.
 #include "servers.h"
 
 using namespace review;
@@ -17,15 +18,16 @@
   discovery.list("leaf-1", server.address(), 0);
   const std::string ip = "127.0.0.4";
   const int http = free_port(ip), sru = free_port(ip);
-  test.write_file(test.work + "/config.json",
-                  configuration("n0", ip + ":" + std::to_string(http), discovery.address(), "8c1f30d27a5be964", {}));
-  test.write_file(test.work + "/operator.xml",
-                  "<marbledyke xmlns=\"urn:marbledyke:operator:1\"><search><listen protocol=\"sru\" address=\"" + ip +
-                      ":" + std::to_string(sru) +
-                      "\"/><database name=\"clauses\" op-type=\"look\" deadline=\"4s\"><schema name=\"dc\" "
-                      "identifier=\"info:srw/schema/1/dc-v1.1\"/><index name=\"dc.title\" use=\"4\"/></database>"
-                      "</search><servers><server name=\"leaf-1\" speaks=\"sru\" database=\"clauses{shard}\"/>"
-                      "</servers></marbledyke>");
+  test.write_file(test.work + "/config.json", configuration("n0", ip + ":" + std::to_string(http),
+                                                            discovery.address(), "8c1f30d27a5be964", {}));
+  test.write_file(
+      test.work + "/operator.xml",
+      "<marbledyke xmlns=\"urn:marbledyke:operator:1\"><search><listen protocol=\"sru\" address=\"" + ip +
+          ":" + std::to_string(sru) +
+          "\"/><database name=\"clauses\" op-type=\"look\" deadline=\"4s\"><schema name=\"dc\" "
+          "identifier=\"info:srw/schema/1/dc-v1.1\"/><index name=\"dc.title\" use=\"4\"/></database>"
+          "</search><servers><server name=\"leaf-1\" speaks=\"sru\" database=\"clauses{shard}\"/>"
+          "</servers></marbledyke>");
   const auto begin = [&] {
     const pid_t pid = start(test.root, test.search + " --operator " + test.work + "/operator.xml",
                             {{"PROXY_CONFIG", test.work + "/config.json"}}, test.work + "/gatherer.log");
@@ -36,12 +38,14 @@
   };
   const auto ask = [&](const char* who, const std::string& query, int first, int count) {
     const std::string target = "/clauses?version=1.2&operation=searchRetrieve&query=" + escaped(query) +
-                               "&startRecord=" + std::to_string(first) + "&maximumRecords=" + std::to_string(count);
+                               "&startRecord=" + std::to_string(first) +
+                               "&maximumRecords=" + std::to_string(count);
     record.line("%s asks: %s from record %d", who, query.c_str(), first);
-    const Message answer = ask_http(ip, sru, "GET " + target + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
-                                    now_ms() + 6000);
+    const Message answer = ask_http(
+        ip, sru, "GET " + target + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", now_ms() + 6000);
     record.line("%s is answered %d, set '%s', diagnostic '%s'", who, answer.status(),
-                between(answer.body, "resultSetId>", "<").c_str(), between(answer.body, "diag:uri>", "<").c_str());
+                between(answer.body, "resultSetId>", "<").c_str(),
+                between(answer.body, "diag:uri>", "<").c_str());
     for (std::size_t at = answer.body.find("<title>"); at != std::string::npos;
          at = answer.body.find("<title>", at + 1))
       record.line("  %s", between(answer.body.substr(at), "<title>", "<").c_str());
@@ -69,14 +73,17 @@
     gatherer = begin();
   }
   const Message second = ask("client B", "dc.title any tenancy", 1, 3);
-  if (second.body.find("found by tenancy 1<") == std::string::npos) test.finish(2, "client B was not answered");
+  if (second.body.find("found by tenancy 1<") == std::string::npos)
+    test.finish(2, "client B was not answered");
   const Message page = ask("client A", "cql.resultSetId = \"" + set + "\"", 4, 3);
   if (page.status() == 0) test.finish(2, "client A's second page was not answered at all");
   const bool foreign = page.body.find("found by tenancy") != std::string::npos;
   const bool own = page.body.find("found by lease 4<") != std::string::npos;
-  const bool told = page.body.find("info:srw/diagnostic/1/5") != std::string::npos;  // 51 or 52: there is no such set
+  const bool told =
+      page.body.find("info:srw/diagnostic/1/5") != std::string::npos;  // 51 or 52: there is no such set
   if (foreign)
-    test.finish(1, "client A, whose set " + set + " is of `lease`, got records of client B's search for `tenancy`");
+    test.finish(
+        1, "client A, whose set " + set + " is of `lease`, got records of client B's search for `tenancy`");
   if (own) test.finish(0, "client A got the next records of its own set");
   if (told || page.status() != 200) test.finish(0, "client A was told that its set is gone");
   test.finish(2, "an answer that this case does not know");
--- a/review/standins-2/servers.h
+++ b/review/standins-2/servers.h
@@ -1,12 +1,13 @@
-// Stand-ins for shard servers: one that speaks SRU (a sound server of SRU 1.2 with so many cores), one that speaks
-// the platform's frames.
+// Stand-ins for shard servers: one that speaks SRU (a sound server of SRU 1.2 with so many cores), one that
+// speaks the platform's frames.
 #pragma once
 
 #include "common.h"
 
 namespace review {
 
-// Serves requests first come, first served on its cores; each takes the same time. Work goes on when a client leaves.
+// Serves requests first come, first served on its cores; each takes the same time. Work goes on when a client
+// leaves.
 class SruServer {
  public:
   SruServer(const std::string& ip, int cores, double service_ms)
@@ -46,7 +47,8 @@
 
 // A response of SRU 1.2 with some of `hits` records; each holds `words` and its number.
 inline std::string sru_response(const std::string& first_line, long long hits, const std::string& words) {
-  const std::string start = parameter(first_line, "startRecord"), most = parameter(first_line, "maximumRecords");
+  const std::string start = parameter(first_line, "startRecord"),
+                    most = parameter(first_line, "maximumRecords");
   const long long from = start.empty() ? 1 : std::atoll(start.c_str());
   const long long until = std::min(hits, from + (most.empty() ? 10 : std::atoll(most.c_str())) - 1);
   std::string out =
@@ -55,10 +57,11 @@
       std::to_string(hits) + "</srw:numberOfRecords>";
   if (from <= until) out += "<srw:records>";
   for (long long i = from; i <= until; ++i)
-    out += "<srw:record><srw:recordSchema>info:srw/schema/1/dc-v1.1</srw:recordSchema><srw:recordPacking>xml"
-           "</srw:recordPacking><srw:recordData><dc><title>" +
-           words + " " + std::to_string(i) + "</title></dc></srw:recordData><srw:recordPosition>" +
-           std::to_string(i) + "</srw:recordPosition></srw:record>";
+    out +=
+        "<srw:record><srw:recordSchema>info:srw/schema/1/dc-v1.1</srw:recordSchema><srw:recordPacking>xml"
+        "</srw:recordPacking><srw:recordData><dc><title>" +
+        words + " " + std::to_string(i) + "</title></dc></srw:recordData><srw:recordPosition>" +
+        std::to_string(i) + "</srw:recordPosition></srw:record>";
   if (from <= until) out += "</srw:records>";
   return out + "</srw:searchRetrieveResponse>";
 }
--- a/review/standins-2/two_conductors.cpp
+++ b/review/standins-2/two_conductors.cpp
@@ -1,5 +1,5 @@
-// The conductor of a rolling change stands still in its first stage; a successor is begun over a copy of its folder; then
-// the former one goes on. With TROUBLE=0 the former one is ended by force instead.
+// The conductor of a rolling change stands still in its first stage; a successor is begun over a copy of its
+// folder; then the former one goes on. With TROUBLE=0 the former one is ended by force instead.
 #include "servers.h"
 
 using namespace review;
@@ -48,17 +48,18 @@
       chmod((release + "/marbledyke").c_str(), 0755);
     }
     one.keeper = start(test.root,
-                       "exec build/marbledyke-keeper --folder " + one.folder + " --control " + one.keeper_ip + ":" +
-                           std::to_string(one.control) + " --name " + one.name,
+                       "exec build/marbledyke-keeper --folder " + one.folder + " --control " + one.keeper_ip +
+                           ":" + std::to_string(one.control) + " --name " + one.name,
                        {}, test.work + "/" + one.name + ".log");
-    fleet += "<keeper name=\"" + one.name + "\" control=\"" + one.keeper_ip + ":" + std::to_string(one.control) +
-             "\" zone=\"a\"/>";
+    fleet += "<keeper name=\"" + one.name + "\" control=\"" + one.keeper_ip + ":" +
+             std::to_string(one.control) + "\" zone=\"a\"/>";
     machines.push_back(one);
   }
   std::ofstream(test.work + "/fleet.xml") << fleet << "</fleet>\n";
   // Short times, as the project's own test of this has them.
   std::ofstream(test.work + "/plan.xml")
-      << "<rollout xmlns=\"urn:marbledyke:rollout:1\" name=\"r\" version=\"v2\" at-a-time=\"1\" before=\"12s\" "
+      << "<rollout xmlns=\"urn:marbledyke:rollout:1\" name=\"r\" version=\"v2\" at-a-time=\"1\" "
+         "before=\"12s\" "
          "burn-in=\"1s\" longest-wait=\"40s\" swap-limit=\"15s\" block=\"1\" least-asked=\"10\">"
          "<stage name=\"one\" count=\"1\" soak=\"15s\"/><stage name=\"rest\" share=\"1\" soak=\"8s\"/>"
          "<limit measure=\"cpu\" too-much=\"0.9\"/><limit measure=\"slow\" too-much=\"0.25\"/></rollout>\n";
@@ -82,8 +83,8 @@
     test.finish(status, words);
   };
   const auto status = [&](const Machine& one) {
-    return ask_http(one.keeper_ip, one.control, "GET /status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
-                    now_ms() + 1000)
+    return ask_http(one.keeper_ip, one.control,
+                    "GET /status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", now_ms() + 1000)
         .body;
   };
   const auto order = [&](Machine& one, const std::string& rest) {
@@ -109,8 +110,8 @@
   usleep(500000);
   for (Machine& one : machines) {
     for (const char* const version : {"v1", "v2"}) {
-      if (!order(one, std::string("\"order\":\"take\",\"version\":\"") + version + "\",\"from\":\"" + test.work +
-                          "/release-" + one.name + "-" + version + "\"") ||
+      if (!order(one, std::string("\"order\":\"take\",\"version\":\"") + version + "\",\"from\":\"" +
+                          test.work + "/release-" + one.name + "-" + version + "\"") ||
           !settled(one))
         over(2, "a version was not taken");
     }
@@ -146,7 +147,8 @@
   if (!saved(first, "\"state\":\"soaking\"", 45000)) over(2, "the first stage was not reached");
   usleep(1500000);
   kill(former, test.trouble ? SIGSTOP : SIGKILL);
-  record.line("conductor A, epoch %s, is %s in its first stage", between(text_of(first + "/rollout"), "\"epoch\":", ",").c_str(),
+  record.line("conductor A, epoch %s, is %s in its first stage",
+              between(text_of(first + "/rollout"), "\"epoch\":", ",").c_str(),
               test.trouble ? "stopped (SIGSTOP)" : "ended (SIGKILL)");
   mkdir(second.c_str(), 0755);
   std::ofstream(second + "/rollout") << text_of(first + "/rollout");
@@ -156,7 +158,8 @@
   double begun = 0;
   for (const double until = now_ms() + 15000; now_ms() < until && begun == 0; usleep(50000)) {
     const std::string now = text_of(second + "/rollout");
-    if (now.find("\"epoch\"") != std::string::npos && now.find(old_epoch + ",") == std::string::npos) begun = now_ms();
+    if (now.find("\"epoch\"") != std::string::npos && now.find(old_epoch + ",") == std::string::npos)
+      begun = now_ms();
   }
   if (begun == 0) over(2, "the successor did not begin");
   record.line("conductor B is begun over a copy of the folder, epoch %s, state %s",
@@ -184,8 +187,8 @@
       // Orders that were taken before the successor had begun are no concern here.
       if (!seen_before || told.find(old_epoch + ",") == std::string::npos) continue;
       broken += 1;
-      worst = "m" + std::to_string(i) + " took " + told + " of the former conductor while its successor is " + state +
-              " in stage " + std::to_string(std::atoi(stage.c_str()) + 1);
+      worst = "m" + std::to_string(i) + " took " + told + " of the former conductor while its successor is " +
+              state + " in stage " + std::to_string(std::atoi(stage.c_str()) + 1);
       record.line("BROKEN: %s", worst.c_str());
     }
     if (state == "done" || state == "returned" || state == "held" || broken >= 3) break;
@@ -195,7 +198,9 @@
     for (std::string line; std::getline(lines, line);)
       record.line("  %s: %s", folder == first ? "A" : "B", line.substr(line.find(' ') + 1).c_str());
   }
-  if (broken > 0) over(1, std::to_string(broken) + " orders of the former conductor were taken after its successor had begun; " + worst);
+  if (broken > 0)
+    over(1, std::to_string(broken) +
+                " orders of the former conductor were taken after its successor had begun; " + worst);
   over(0, "nothing but orders of the successor was taken; it is " +
               between(text_of(second + "/rollout"), "\"state\":\"", "\""));
 }
