Review: the records tell each request, each part taken and run, and each answer

Cause: the records of cases 6, 9 and 10 left out requests and what had become of parts, and case 10 had second copies, which its site has not.

--- a/review/standins-2/keyed_window.cpp
+++ b/review/standins-2/keyed_window.cpp
@@ -32,6 +32,12 @@
       arrivals[contract].push_back({i + 1, now_ms()});
       record.line("leaf-%d takes %s", i + 1, contract.c_str());
     };
+    servers.back()->ran = [&, i](const std::string& line, bool written) {
+      const std::string contract = contract_of(line);
+      if (!contract.empty())
+        record.line("leaf-%d has run %s, its answer %s", i + 1, contract.c_str(),
+                    written ? "is written" : "can't be written");
+    };
     servers.back()->body = [](const std::string& line) { return sru_response(line, 1, "amended"); };
     if (!servers.back()->open()) test.finish(2, "no free port");
     discovery.list("leaf-" + std::to_string(i + 1), servers.back()->address(), 0);
@@ -87,6 +93,7 @@
   for (int i = 0; i < kClients; ++i)
     clients.emplace_back([&, i] {
       const std::string contract = "contract-" + std::to_string(1000 + i);
+      record.line("client of %s asks", contract.c_str());
       const Message answer = search("order.amend = " + contract);
       const bool good = answer.status() == 200 && answer.body.find("diagnostic/1/") == std::string::npos;
       (good ? answered : answer.status() == 503 ? refused : failed) += 1;
--- a/review/standins-2/left_client.cpp
+++ b/review/standins-2/left_client.cpp
@@ -25,6 +25,12 @@
       arrivals[contract].emplace_back(i + 1, now_ms());
       record.line("leaf-%d takes %s", i + 1, contract.c_str());
     };
+    servers.back()->ran = [&, i](const std::string& line, bool written) {
+      const std::string query = parameter(line, "query");
+      if (const std::size_t at = query.find("contract-"); at != std::string::npos)
+        record.line("leaf-%d has run %s, its answer %s", i + 1, query.substr(at, 13).c_str(),
+                    written ? "is written" : "can't be written");
+    };
     servers.back()->body = [](const std::string& line) { return sru_response(line, 1, "issued"); };
     if (!servers.back()->open()) test.finish(2, "no free port");
     discovery.list("leaf-" + std::to_string(i + 1), servers.back()->address(), 0);
@@ -82,6 +88,7 @@
       const std::string contract = "contract-" + std::to_string(1000 + i);
       const int fd = connect_to(ip, sru);
       if (fd < 0 || !send_all(fd, request("order.issue = " + contract))) return;
+      record.line("client of %s has asked", contract.c_str());
       const bool leaves = test.trouble && i >= kClients - kLeaving;
       std::string buffer;
       Message answer;
--- a/review/standins-2/load_report.cpp
+++ b/review/standins-2/load_report.cpp
@@ -15,7 +15,10 @@
   std::atomic<bool> spoil{false};
   for (int i = 0; i < kServers; ++i) {
     servers.push_back(std::make_unique<FrameServer>("127.1.0." + std::to_string(i + 1), 20));
-    servers.back()->arrived = [&](const FrameServer::Part&) { ++parts; };
+    servers.back()->arrived = [&, i](const FrameServer::Part& part) {
+      ++parts;
+      record.line("leaf-%d takes %s and answers it", i + 1, part.id.c_str());
+    };
     servers.back()->report = servers.back()->with_answer = [] { return std::string("queue=1,qps=4"); };
     if (i == 0)
       servers.back()->with_answer = [&] {
@@ -30,8 +33,9 @@
   const int http = free_port(ip);
   Settings settings;
   settings.slabs = 4;
-  settings.overhead = 80000;
-  settings.copies = true;
+  settings.overhead = 46000;
+  settings.bundle = 8;
+  settings.attempts = 4;
   settings.telemetry = R"({"fields":["waiting","rps"],"how":"inline"})";
   test.write_file(test.work + "/config.json",
                   configuration("n0", ip + ":" + std::to_string(http), discovery.address(),
@@ -45,12 +49,15 @@
     std::snprintf(id, sizeof id, "%016x", 0x77000000 + asked++);
     const std::string body =
         "{\"slices\":[{\"slice\":" + std::to_string(asked % 4) + ",\"mass\":1.0}],\"filter\":\"c41e77d0\"}";
-    return ask_http(ip, http,
-                    "POST /api HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Request-Id: " + std::string(id) +
-                        "\r\nX-Class: look\r\nX-Deadline-Ms: 2000\r\nContent-Length: " +
-                        std::to_string(body.size()) + "\r\n\r\n" + body,
-                    now_ms() + 3000)
-        .status();
+    const int status =
+        ask_http(ip, http,
+                 "POST /api HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Request-Id: " + std::string(id) +
+                     "\r\nX-Class: look\r\nX-Deadline-Ms: 2000\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body,
+                 now_ms() + 3000)
+            .status();
+    record.line("multiget %s was asked and is answered %d", id, status);
+    return status;
   };
   int answered = 0;
   for (int i = 0; i < 40; ++i) answered += ask() == 200 ? 1 : 0;
--- a/review/standins-2/servers.h
+++ b/review/standins-2/servers.h
@@ -21,6 +21,8 @@
 
   std::function<void(const std::string& first_line, int connection)> arrived;
   std::function<std::string(const std::string& first_line)> body;
+  // Told at the end of the work, and whether the answer could be written.
+  std::function<void(const std::string& first_line, bool written)> ran;
 
  private:
   void serve(int fd, int number) {
@@ -35,7 +37,10 @@
         done = core = std::max(core, now_ms()) + service_ms_;
       }
       sleep_until(done);
-      if (!send_all(fd, http_answer(200, "application/xml; charset=utf-8", body(message.first)))) return;
+      const bool written =
+          send_all(fd, http_answer(200, "application/xml; charset=utf-8", body(message.first)));
+      if (ran) ran(message.first, written);
+      if (!written) return;
     }
   }
 
--- a/review/standins-2/two_conductors.cpp
+++ b/review/standins-2/two_conductors.cpp
@@ -193,6 +193,7 @@
     }
     if (state == "done" || state == "returned" || state == "held" || broken >= 3) break;
   }
+  record.line("what each conductor sent, and what the keepers answered:");
   for (const std::string& folder : {first, second}) {
     std::istringstream lines(text_of(folder + "/history"));
     for (std::string line; std::getline(lines, line);)
