HTTP parser: a message has 100 headers at most, so that heads stay small in memory

Cause: a head was limited to 16 KiB of text but not in its number of headers; 4,000 headers of two bytes take 256 KiB once parsed. SRU front, JSON servers and discovery's calls use the same parser.

Change: the 101st header makes the message malformed, status 431.

Ruled out as the same cause: 700 clients with half a body and a short head hold 37 MB; that is a matter of its own and follows.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kMaxHeadBytes = 16 * 1024;  // of the start line and the headers
+// A header occupies much more memory than a short line of text, so their number is limited as well.
+constexpr std::size_t kMaxHeaders = 100;
 
 bool is_token_char(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
@@ -166,6 +168,7 @@
 void HttpParser::header_line() {
   const std::size_t colon = line_.find(':');
   if (colon == std::string::npos || colon == 0) return fail(400);
+  if (message_.headers.size() == kMaxHeaders) return fail(431);
   const std::string_view name = std::string_view(line_).substr(0, colon);
   // A space before the colon and a folded line are read differently by different parsers (request smuggling),
   // so both are rejected.
--- a/tests/parser_traces.cpp
+++ b/tests/parser_traces.cpp
@@ -116,6 +116,13 @@
   int lines = 0;
   for (; reader.state() == net::HttpParser::State::incomplete && lines < 100; ++lines) reader.feed(line);
   std::printf("%-22s bad %d at line %d\n", "endless head", reader.error_status(), lines);
+  // Guards against heads that take many times their length in memory.
+  net::HttpParser short_headers(net::HttpParser::Kind::request, 40);
+  short_headers.feed("GET / HTTP/1.1\r\n");
+  int headers = 0;
+  for (; short_headers.state() == net::HttpParser::State::incomplete && headers < 4000; ++headers)
+    short_headers.feed("a:\r\n");
+  std::printf("%-22s bad %d at header %d\n", "thousands of headers", short_headers.error_status(), headers);
 }
 
 void http_answers() {
