Memory is a budget: clients make a gatherer hold a quarter of limits.memory_mb at most

Cause: limits.memory_mb was read nowhere. Each connection could hold 64 KiB of a body, 64 KiB of pipelined requests and 32 MiB of an answer that is not read, each pending multiget its text once more for every part.

Change: net::MemoryBudget counts what connections and pending texts hold. Beyond the limit the holder is released first that has been incomplete or unread for longest: 503 at once for half a request, the end of the connection for an answer that is not read. Complete requests that do not fit get 503 before anything runs, an answer that does not fit 504. The JSON key is optional, 1024 where it is missing; below 16 the start is refused.

Failed tries: a smaller input buffer of 4 KiB for all made a client that sends much and leaves be noticed late (crossing_client_gone_unread), since its FIN waits behind bytes that do not fit the socket; so the buffer shrinks only while memory is scarce.

--- a/src/clients/http_front.cpp
+++ b/src/clients/http_front.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <optional>
 #include <system_error>
 #include <utility>
 
@@ -25,10 +24,19 @@
 constexpr Duration kLateConnectGrace = 200ms;
 // Input that is read and discarded after the last answer.
 constexpr std::size_t kMaxDiscardedBytes = 4 * kMaxRequestBodyBytes;
+// What is read of pipelined requests where memory is scarce. The rest waits in the socket, at the cost that a
+// client which leaves is noticed later.
+constexpr std::size_t kScarceInputBytes = 4096;
+// Requests that hold no more than this are accepted as long as there is any memory. Larger ones leave a
+// quarter of it for them.
+constexpr std::size_t kSmallRequestBytes = 16 * 1024;
 
 }  // namespace
 
 struct HttpFront::Connection {
+  Connection(net::MemoryBudget& budget, std::function<void(Connection&)> release)
+      : memory(budget, [this, release] { release(*this); }) {}
+
   std::uint64_t number = 0;
   std::unique_ptr<net::Stream> stream;
   net::HttpParser reader{net::HttpParser::Kind::request, kMaxRequestBodyBytes};
@@ -42,11 +50,13 @@
   bool over_capacity = false;  // accepted without a slot, so that its request is refused
   bool is_slotless = false;
   std::size_t discarded_bytes = 0;
+  net::MemoryHolder memory;
 };
 
-HttpFront::HttpFront(net::Loop& loop, const config::ServiceSettings& settings, const net::Address& listen,
-                     std::size_t max_descriptors, net::Descriptor listening)
+HttpFront::HttpFront(net::Loop& loop, net::MemoryBudget& memory, const config::ServiceSettings& settings,
+                     const net::Address& listen, std::size_t max_descriptors, net::Descriptor listening)
     : loop_(loop),
+      memory_(memory),
       settings_(settings),
       is_listener_shared_(static_cast<bool>(listening)),
       listener_(listening ? std::move(listening) : net::listen_on(listen)),
@@ -121,7 +131,7 @@
 }
 
 void HttpFront::add_connection(net::Descriptor fd, bool over_capacity) {
-  auto owned = std::make_unique<Connection>();
+  auto owned = std::make_unique<Connection>(memory_, [this](Connection& one) { release_memory(one); });
   Connection* const connection = owned.get();
   connection->number = next_number_++;
   connection->idle_since = loop_.now();
@@ -194,6 +204,11 @@
 }
 
 void HttpFront::on_data_received(Connection& connection) {
+  receive(connection);
+  update_memory(connection);
+}
+
+void HttpFront::receive(Connection& connection) {
   net::RingBuffer& in = connection.stream->in();
   if (connection.is_closing) {
     // Beyond the limit the ring stays full and nothing more is read, so that 60 MB from one client do
@@ -244,14 +259,25 @@
     tally_.refused_at_capacity += 1;
     return refuse_at_capacity(connection);
   }
-  requests.push_back({connection.number, std::move(std::get<Multiget>(parsed)), connection.first_byte_at});
+  Multiget& multiget = std::get<Multiget>(parsed);
+  // Until it has been written to a shard server, each part holds a copy of the text.
+  const std::size_t bytes =
+      multiget.text->size() * (1 + multiget.parts.size()) + multiget.parts.size() * sizeof(front::Part);
+  connection.reader.reset();
+  update_memory(connection);
+  const std::size_t reserve = bytes > kSmallRequestBytes ? memory_.limit() / 4 : 0;
+  if (!memory_.make_room(bytes + reserve)) return refuse_at_capacity(connection);
+  multiget.text = net::held_text(memory_, std::move(multiget.text), bytes);
+  requests.push_back({connection.number, std::move(multiget), connection.first_byte_at});
 }
 
 void HttpFront::answer(std::uint64_t number, bool complete, const std::vector<Value>& values) {
   const auto at = connections_.find(number);
   if (at == connections_.end()) return;
   const bool keep_alive = at->second->keep_alive && !closes_after_answers_;
-  respond(*at->second, answer_text(200, answer_body(complete, values), keep_alive), keep_alive);
+  const std::string text = answer_text(200, answer_body(complete, values), keep_alive);
+  if (!memory_.make_room(text.size())) return respond_error(number, 504, "no room for the answer\n");
+  respond(*at->second, text, keep_alive);
 }
 
 void HttpFront::refuse(std::uint64_t number, front::Refusal reason, Duration retry_after) {
@@ -285,6 +311,30 @@
   // A response that does not fit the buffer closes the connection, which the client recognises as a failure.
   if (!connection.stream->out().append(text)) return close(connection);
   connection.stream->flush();
+  update_memory(connection);
+}
+
+// A request that is not complete has not been accepted, and a response that is not read serves nobody. Memory
+// of a pending request is kept until its answer.
+std::optional<Duration> HttpFront::releasable_since(const Connection& connection) const {
+  if (connection.stream->is_closed()) return std::nullopt;
+  if (connection.is_closing) return connection.idle_since;
+  if (connection.is_request_pending) return std::nullopt;
+  if (connection.is_responding)
+    return connection.stream->out().empty() ? std::nullopt : std::optional(connection.idle_since);
+  return connection.reader.has_started() ? std::optional(connection.first_byte_at) : std::nullopt;
+}
+
+void HttpFront::update_memory(Connection& connection) {
+  connection.memory.update(connection.stream->held_bytes() + connection.reader.held_bytes(),
+                           releasable_since(connection));
+  const bool is_scarce = !memory_.fits(memory_.limit() / 2);
+  connection.stream->limit_input(is_scarce ? kScarceInputBytes : kMaxRequestBodyBytes);
+}
+
+void HttpFront::release_memory(Connection& connection) {
+  if (connection.is_closing || connection.is_responding) return close(connection);
+  refuse_at_capacity(connection);
 }
 
 void HttpFront::on_response_written(Connection& connection) {
@@ -315,6 +365,7 @@
   connection.stream->in().clear();
   connection.stream->shutdown_write();
   connection.stream->resume_reading();
+  update_memory(connection);
 }
 
 // Enforces the limits on every wait for a client: for the first byte, for the end of a request, for reading a
@@ -367,6 +418,8 @@
 
 void HttpFront::close(Connection& connection) {
   connection.stream->close();
+  connection.reader.reset();
+  update_memory(connection);
   const auto at = connections_.find(connection.number);
   if (at == connections_.end()) return;
   if (connection.is_request_pending) departed.push_back(connection.number);
--- a/src/clients/http_front.h
+++ b/src/clients/http_front.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 #include "net/descriptor_reserve.h"
 #include "net/http.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 #include "net/socket.h"
 
 namespace marbledyke::clients {
@@ -30,9 +32,10 @@
  public:
   // Uses at most `max_descriptors` for connections, including the reserved ones. `listening` is an already
   // listening socket that other processes accept from as well; without one, a socket is opened at `listen`.
-  // Throws std::system_error if that fails. The loop and the settings must outlive this object.
-  HttpFront(net::Loop& loop, const config::ServiceSettings& settings, const net::Address& listen,
-            std::size_t max_descriptors, net::Descriptor listening = {});
+  // Throws std::system_error if that fails. The loop, the memory budget and the settings must outlive this
+  // object.
+  HttpFront(net::Loop& loop, net::MemoryBudget& memory, const config::ServiceSettings& settings,
+            const net::Address& listen, std::size_t max_descriptors, net::Descriptor listening = {});
   ~HttpFront() override;
 
   void answer(std::uint64_t caller, bool complete, const std::vector<Value>& values) override;
@@ -82,11 +85,15 @@
   void release_slot(Connection& connection);
 
   void on_data_received(Connection& connection);
+  void receive(Connection& connection);
   void on_request_complete(Connection& connection);
   void on_response_written(Connection& connection);
   void respond_error(std::uint64_t caller, int status, std::string_view reason, Duration retry_after = {});
   void respond(Connection& connection, const std::string& text, bool keep_alive);
   void close_gracefully(Connection& connection);
+  std::optional<Duration> releasable_since(const Connection& connection) const;
+  void update_memory(Connection& connection);
+  void release_memory(Connection& connection);
   Activity activity(const Connection& connection) const;
   Connection* eviction_candidate(bool (*is_eligible)(const Connection&)) const;
   bool evict(Connection& connection);
@@ -100,6 +107,7 @@
   void close_listener();
 
   net::Loop& loop_;
+  net::MemoryBudget& memory_;
   const config::ServiceSettings& settings_;
   const bool is_listener_shared_;  // other processes accept from the same socket
   net::Descriptor listener_;
--- a/src/config/gatherer_config.cpp
+++ b/src/config/gatherer_config.cpp
@@ -16,6 +16,9 @@
 
 constexpr double kMaxDurationUs = 1e12;
 constexpr std::int64_t kMinSockets = 32, kMaxSockets = 1'000'000;
+constexpr double kMinMemoryMb = 16, kMaxMemoryMb = 1e6;
+constexpr double kDefaultMemoryMb = 1024;
+constexpr std::size_t kBytesPerMb = 1024 * 1024;
 constexpr std::size_t kMaxSeedDigits = 16;  // of a 64-bit number in hexadecimal
 
 // Returns the value of a key, or of an environment variable if the configuration leaves the key out.
@@ -73,6 +76,13 @@
   SettingsReader reader_;
 };
 
+std::size_t parse_memory_limit(const json& limits) {
+  const double memory_mb =
+      limits.contains("memory_mb") ? number(limits["memory_mb"], "limits.memory_mb") : kDefaultMemoryMb;
+  if (memory_mb < kMinMemoryMb || memory_mb > kMaxMemoryMb) throw BadInput("limits.memory_mb: out of range");
+  return static_cast<std::size_t>(memory_mb * kBytesPerMb);
+}
+
 ServiceSettings parse_service_settings(const FlatSettings& terms) {
   const RequiredSettings reader(terms);
   ServiceSettings out;
@@ -151,6 +161,7 @@
   const std::int64_t sockets = integer(object(config, "limits"), "sockets");
   if (sockets < kMinSockets || sockets > kMaxSockets) throw BadInput("limits.sockets: out of range");
   out.max_sockets = static_cast<int>(sockets);
+  out.memory_bytes = parse_memory_limit(object(config, "limits"));
   if (config.contains("known")) out.known_list = object(config, "known");
   if (fleet) out.settings_index = fleet->index;
   if (fleet && fleet->index != 0) out.settings_file = fleet->file;
--- a/src/config/gatherer_config.h
+++ b/src/config/gatherer_config.h
@@ -53,6 +53,7 @@
   std::string discovery_host;
   std::uint32_t seed = 0;
   int max_sockets = 0;
+  std::size_t memory_bytes = 0;  // that the process may use
   log::Level log_level = log::Level::info;
   json known_list;  // the list as last held, in discovery's format; null if there is none
   FlatSettings terms;
--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -34,6 +34,9 @@
 // Descriptors of the process itself: three standard streams, epoll, signals, the listener, two connections to
 // discovery, and a file that is read again.
 constexpr int kOwnDescriptors = 9;
+// Clients may make the process hold this part of its memory. The rest is for the program, the list, shard
+// servers, what the allocator cannot use again, and requests while they are parsed.
+constexpr std::size_t kClientMemoryDivisor = 4;
 
 // Returns the number of descriptors for clients: those that the listed servers do not need, but at least half
 // of all.
@@ -64,11 +67,12 @@
     : gatherer_config_(gatherer_config),
       discovery_(gatherer_config.discovery),
       loop_(clock),
+      client_memory_(gatherer_config.memory_bytes / kClientMemoryDivisor),
       unix_start_((loop_.read_clock(), clock.wall() - loop_.now())),
       decision_engine_(gatherer_config.terms, gatherer_config.seed),
       servers_(loop_, gatherer_config.settings, gatherer_config.seed,
                [this] { return release_connection(); }),
-      http_front_(loop_, gatherer_config.settings, gatherer_config.listen,
+      http_front_(loop_, client_memory_, gatherer_config.settings, gatherer_config.listen,
                   client_descriptors(gatherer_config, known_server_count(gatherer_config)),
                   std::move(listening)),
       list_watch_(loop_, gatherer_config, unix_start_,
@@ -197,6 +201,7 @@
   warn_if_changed(fresh.name != gatherer_config_.name, "name");
   warn_if_changed(fresh.listen != gatherer_config_.listen, "listen");
   warn_if_changed(fresh.max_sockets != gatherer_config_.max_sockets, "limits.sockets");
+  warn_if_changed(fresh.memory_bytes != gatherer_config_.memory_bytes, "limits.memory_mb");
   const bool reload_list = apply_settings(fresh);
   gatherer_config_.digest = fresh.digest;
   if (fresh.settings_index) {
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -20,6 +20,7 @@
 #include "log/log.h"
 #include "model/slot_map.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 #include "operator_file/terms.h"
 #include "servers/shard_server_pool.h"
 #include "totals/totals.h"
@@ -52,6 +53,8 @@
   // Applies the operator's terms, at the start and after each reload of their file.
   void apply_operator_terms(const operator_file::Terms& terms);
   net::Loop& loop() { return loop_; }
+  // What clients of all fronts may make the process hold.
+  net::MemoryBudget& client_memory() { return client_memory_; }
   // Logs the totals since the start.
   void log_totals();
   // From now on, counts each second of the wall clock by op type, and passes each window to `listener` as a
@@ -145,6 +148,7 @@
   config::GathererConfig& gatherer_config_;
   net::Address discovery_;  // of the latest configuration
   net::Loop loop_;
+  net::MemoryBudget client_memory_;
   Duration unix_start_;
   DecisionEngine decision_engine_;
   servers::ShardServerPool servers_;
--- a/src/gatherer/totals.cpp
+++ b/src/gatherer/totals.cpp
@@ -92,6 +92,8 @@
               {"refused_at_door", c.refused_at_capacity},
               {"silent", c.closed_silent},
               {"not_ended", c.timed_out},
+              {"client_memory", client_memory_.used()},
+              {"released_for_memory", client_memory_.released_count()},
               {"not_connected", t.dial_failed},
               {"dropped", t.dropped},
               {"expired", t.expired},
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -72,6 +72,11 @@
 
 void HttpParser::reset() { *this = HttpParser(kind_, max_body_); }
 
+std::size_t HttpParser::held_bytes() const {
+  return message_.headers.capacity() * sizeof(message_.headers[0]) + head_size_ + line_.capacity() +
+         message_.body.capacity();
+}
+
 void HttpParser::fail(int status) {
   state_ = State::malformed;
   error_status_ = status;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -47,6 +47,8 @@
   // The HTTP status that fits a malformed message: 400, 413, 431 or 505.
   int error_status() const { return error_status_; }
   HttpMessage& message() { return message_; }
+  // Returns about how many bytes of memory the message occupies.
+  std::size_t held_bytes() const;
   void reset();
 
  private:
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -69,6 +69,7 @@
       fd_(std::move(fd)),
       watch_id_(loop.watch(fd_.get(), *this)),
       connected_(connected),
+      max_in_(max_in),
       in_(max_in),
       out_(max_out),
       callbacks_(std::move(callbacks)) {}
@@ -117,7 +118,7 @@
 
 void Stream::resume_reading() {
   while (unread_ && !is_closed()) {
-    if (in_.full()) return;  // the owner calls resume_reading() once it has taken bytes
+    if (is_input_full()) return;  // the owner calls resume_reading() once it has taken bytes
     const std::span<char> free = in_.prepare();
     const ssize_t received = recv(fd_.get(), free.data(), free.size(), 0);
     if (received > 0) {
@@ -141,7 +142,7 @@
 // While in() is full, the end of the stream lies behind unread bytes, and the owner may take as long as a
 // whole answer before it makes room for them. The hang-up is therefore reported at once.
 void Stream::on_hang_up() {
-  if (connected_ && in_.full() && !is_closed()) end(true);
+  if (connected_ && is_input_full() && !is_closed()) end(true);
 }
 
 void Stream::flush() {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -39,6 +39,8 @@
 
   RingBuffer& in() { return in_; }
   RingBuffer& out() { return out_; }
+  // Returns the bytes of memory that both buffers occupy.
+  std::size_t held_bytes() const { return in_.capacity() + out_.capacity(); }
   bool is_connected() const { return connected_; }
   bool is_closed() const { return !fd_; }
   // Whether the stream ended otherwise than by the peer's orderly close.
@@ -48,6 +50,8 @@
   void flush();
   // Continues to read after the owner has taken bytes from a full in().
   void resume_reading();
+  // Limits in() to fewer bytes than at first; what is beyond waits in the socket.
+  void limit_input(std::size_t max_in) { max_in_ = max_in; }
   // Reads what has arrived, whether or not the loop has reported it yet.
   void read_available();
   // Closes at once and drops both buffers, without a callback.
@@ -60,6 +64,7 @@
 
  private:
   void end(bool reset);
+  bool is_input_full() const { return in_.full() || in_.size() >= max_in_; }
 
   Loop& loop_;
   Descriptor fd_;
@@ -68,6 +73,7 @@
   bool flushing_ = false;
   bool reset_ = false;
   bool unread_ = false;  // the socket may hold bytes that were not read, as epoll reports edges only
+  std::size_t max_in_;
   RingBuffer in_, out_;
   Callbacks callbacks_;
 };
--- /dev/null
+++ b/tests/memory_traces.cpp
@@ -0,0 +1,168 @@
+// Traces of what clients may make the process hold. Each case guards against a process that passes its memory
+// limit because of clients that stop half way, send much at once or do not read.
+#include <algorithm>
+#include <cstring>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/memory_budget.h"
+#include "scene.h"
+
+using namespace marbledyke;
+using namespace marbledyke::scene;
+
+namespace {
+
+const Changes kLeastMemory{{R"("sockets":200)", R"("sockets":400,"memory_mb":16)"},
+                           {R"("max-open":9)", R"("max-open":1000)"}};
+constexpr int kManyClients = 150;  // each holds more than a hundredth of the budget
+constexpr int kLargeTextBytes = 60'000;
+constexpr std::size_t kBudgetBytes = 4 * 1024 * 1024;  // a quarter of the process's memory
+
+std::string head(const std::string& id, std::size_t body_bytes) {
+  return "POST /api HTTP/1.1\r\nX-Request-Id: " + id +
+         "\r\nX-Class: issue\r\nX-Deadline-Ms: 50000\r\nContent-Length: " + std::to_string(body_bytes) +
+         "\r\n\r\n";
+}
+
+std::string body_with_text(std::size_t text_bytes) {
+  return R"({"slices":[{"slice":1,"mass":1}],"filter":")" + std::string(text_bytes, 'f') + "\"}";
+}
+
+// Prints whether the budget is kept, and how many clients have got which status.
+void print_state(Scene& scene, std::list<Client>& clients) {
+  int refused = 0, served = 0;
+  for (Client& client : clients) {
+    if (!client.answered()) continue;
+    refused += client.text.substr(9, 3) == "503" ? 1 : 0;
+    served += client.text.substr(9, 3) == "200" ? 1 : 0;
+  }
+  const net::MemoryBudget& memory = scene.gatherer.client_memory();
+  print(memory.used() <= kBudgetBytes ? "within the budget" : "BEYOND THE BUDGET");
+  print(refused > 0 ? "some are refused at once" : "NONE IS REFUSED");
+  print("served: " + std::to_string(served));
+}
+
+// A client that behaves as usual is served.
+void serve_usual_client(Scene& scene, FakeShardServer& server) {
+  server.frames.clear();
+  Client usual;
+  usual.send("usual", "issue", kOnePart);
+  scene.run_until("the usual client's part", [&] {
+    return std::any_of(server.frames.begin(), server.frames.end(),
+                       [](const FakeShardServer::Frame& frame) {
+                         return frame.text.find("usual.1") != std::string::npos;
+                       }) ||
+           usual.answered();
+  });
+  for (const FakeShardServer::Frame& frame : server.frames) {
+    if (frame.text.find("usual.1") != std::string::npos)
+      server.answer(frame.connection, "usual.1", "S 1 -", "v");
+  }
+  scene.print_answer(usual, "a usual client");
+}
+
+// Clients that stop half way through a large body.
+void half_requests() {
+  FakeShardServer server(11);
+  ManualClock clock;
+  Scene scene(list_entry("A", 11), clock, kLeastMemory);
+  scene.fake_servers = {&server};
+  std::list<Client> clients(kManyClients);
+  for (Client& client : clients) {
+    client.connection.write(head("m", kLargeTextBytes) + std::string(kLargeTextBytes - 1, 'x'));
+    scene.advance(1ms);
+  }
+  scene.advance(5ms);
+  print_state(scene, clients);
+  print(clients.front().answered() && !clients.back().answered() ? "the oldest first"
+                                                                 : "NOT THE OLDEST FIRST");
+  serve_usual_client(scene, server);
+}
+
+// Clients whose complete requests are large, and wait for an answer.
+void large_requests() {
+  FakeShardServer server(11);
+  ManualClock clock;
+  Scene scene(list_entry("A", 11), clock, kLeastMemory);
+  scene.fake_servers = {&server};
+  std::list<Client> clients(kManyClients);
+  const std::string body = body_with_text(kLargeTextBytes);
+  int number = 0;
+  for (Client& client : clients) {
+    client.connection.write(head("m" + std::to_string(number++), body.size()) + body);
+    scene.advance(1ms);
+  }
+  scene.advance(5ms);
+  print_state(scene, clients);
+  serve_usual_client(scene, server);
+}
+
+// Clients that send much behind a request that is pending.
+void pipelined_requests() {
+  FakeShardServer server(11);
+  ManualClock clock;
+  Scene scene(list_entry("A", 11), clock, kLeastMemory);
+  scene.fake_servers = {&server};
+  std::list<Client> clients(kManyClients);
+  const std::string body = body_with_text(8);
+  int number = 0;
+  for (Client& client : clients) {
+    client.connection.write(head("m" + std::to_string(number++), body.size()) + body +
+                            std::string(kLargeTextBytes, '\n'));
+    scene.advance(1ms);
+  }
+  scene.advance(5ms);
+  const net::MemoryBudget& memory = scene.gatherer.client_memory();
+  print(memory.used() <= kBudgetBytes ? "within the budget" : "BEYOND THE BUDGET");
+  serve_usual_client(scene, server);
+}
+
+// What is released, and in which order.
+void order() {
+  net::MemoryBudget budget(100);
+  std::vector<std::unique_ptr<net::MemoryHolder>> holders;
+  const auto add = [&](int number) {
+    holders.push_back(std::make_unique<net::MemoryHolder>(budget, [&, number] {
+      print("releases " + std::to_string(number));
+      holders[static_cast<std::size_t>(number)]->update(0);
+    }));
+  };
+  for (int i = 0; i < 4; ++i) add(i);
+  holders[0]->update(40, 3s);
+  holders[1]->update(30, 1s);
+  holders[2]->update(30);
+  print("100 of 100 are used");
+  holders[3]->update(1, 4s);
+  print("used: " + std::to_string(budget.used()));
+  print(budget.make_room(60) ? "60 more fit" : "60 MORE DO NOT FIT");
+  print(budget.make_room(80) ? "80 MORE FIT" : "80 more do not fit beside what may not be released");
+  auto text = net::held_text(budget, std::make_shared<const std::string>("text"), 50);
+  print("used with a text: " + std::to_string(budget.used()));
+  const auto copy = text;
+  text.reset();
+  print("used with a copy of it: " + std::to_string(budget.used()));
+  holders[3]->update(70, 5s);
+  print("used: " + std::to_string(budget.used()));
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  if (count != 2) return 2;
+  log::configure(log::Level::error, log::Format::plain, "test");
+  const std::pair<const char*, void (*)()> cases[] = {{"order", order},
+                                                      {"half_requests", half_requests},
+                                                      {"large_requests", large_requests},
+                                                      {"pipelined_requests", pipelined_requests}};
+  for (const auto& [name, run] : cases) {
+    if (std::strcmp(name, words[1]) == 0) {
+      run();
+      return 0;
+    }
+  }
+  return 2;
+}
