Gatherer: a request that has ended gives its text and values back at once

What callers saw: a process that stays large after a burst of large requests. Cause: SlotMap::erase() keeps the object until the slot is used again, and a pending multiget's object has its text and the values of its parts. Change: the gatherer empties the object with its slot. Ruled out: sends still out (all had been revoked), connections (closed).

--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -499,7 +499,9 @@
   if (!mg.is_answered || mg.sends_out > 0) return;
   pending_count_ -= 1 + static_cast<int>(mg.parts.size());
   by_request_id_.erase(mg.request_id);
-  pending_.erase(pending_.find(mg.id));
+  const int slot = pending_.find(mg.id);
+  pending_.erase(slot);
+  pending_.at(slot) = {};  // frees its text and values now; the slot may not be used again for long
 }
 
 // ---- decisions ----
--- a/tests/memory_traces.cpp
+++ b/tests/memory_traces.cpp
@@ -99,6 +99,10 @@
   scene.advance(5ms);
   print_state(scene, clients);
   serve_usual_client(scene, server);
+  for (Client& client : clients) client.connection.fd.close();
+  scene.advance(20ms);
+  print(scene.gatherer.client_memory().used() < kLargeTextBytes ? "nothing is held for clients that left"
+                                                                : "MEMORY IS HELD FOR CLIENTS THAT LEFT");
 }
 
 // Clients that send much behind a request that is pending.
