SRU and Z39.50 fronts share the memory budget of clients

Cause: connections of both fronts held up to 64 KiB of a message, as much of pipelined ones and 16 MiB of answers, without any limit on all together. Change: both say what they hold to net::MemoryBudget, parsed queries of pending searches too; texts of their multigets count at the one place where they become requests (DeskFront::submit). SRU refuses with 503, Z39.50 with a Close that says "no room". An answer over SRU that does not fit is 500, as it has run. What releases an HTTP connection stands once, for both HTTP fronts.

--- a/src/clients/http_front.cpp
+++ b/src/clients/http_front.cpp
@@ -5,6 +5,7 @@
 #include <system_error>
 #include <utility>
 
+#include "front/http_connection_memory.h"
 #include "log/log.h"
 
 namespace marbledyke::clients {
@@ -314,20 +315,9 @@
   update_memory(connection);
 }
 
-// A request that is not complete has not been accepted, and a response that is not read serves nobody. Memory
-// of a pending request is kept until its answer.
-std::optional<Duration> HttpFront::releasable_since(const Connection& connection) const {
-  if (connection.stream->is_closed()) return std::nullopt;
-  if (connection.is_closing) return connection.idle_since;
-  if (connection.is_request_pending) return std::nullopt;
-  if (connection.is_responding)
-    return connection.stream->out().empty() ? std::nullopt : std::optional(connection.idle_since);
-  return connection.reader.has_started() ? std::optional(connection.first_byte_at) : std::nullopt;
-}
-
 void HttpFront::update_memory(Connection& connection) {
   connection.memory.update(connection.stream->held_bytes() + connection.reader.held_bytes(),
-                           releasable_since(connection));
+                           front::releasable_since(connection));
   const bool is_scarce = !memory_.fits(memory_.limit() / 2);
   connection.stream->limit_input(is_scarce ? kScarceInputBytes : kMaxRequestBodyBytes);
 }
--- a/src/clients/http_front.h
+++ b/src/clients/http_front.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -91,7 +90,6 @@
   void respond_error(std::uint64_t caller, int status, std::string_view reason, Duration retry_after = {});
   void respond(Connection& connection, const std::string& text, bool keep_alive);
   void close_gracefully(Connection& connection);
-  std::optional<Duration> releasable_since(const Connection& connection) const;
   void update_memory(Connection& connection);
   void release_memory(Connection& connection);
   Activity activity(const Connection& connection) const;
--- a/src/command/search_main.cpp
+++ b/src/command/search_main.cpp
@@ -22,11 +22,11 @@
   for (const search::Listener& one : terms.listeners) {
     ++seed;
     if (one.protocol == search::Protocol::sru) {
-      gatherer.add(std::make_unique<sru::Front>(gatherer.loop(), terms, gatherer_config.settings, one.address,
-                                                seed, most));
+      gatherer.add(std::make_unique<sru::Front>(gatherer.loop(), gatherer.client_memory(), terms,
+                                                gatherer_config.settings, one.address, seed, most));
     } else {
-      gatherer.add(std::make_unique<z3950::Front>(gatherer.loop(), terms, gatherer_config.settings,
-                                                  one.address, seed, most));
+      gatherer.add(std::make_unique<z3950::Front>(gatherer.loop(), gatherer.client_memory(), terms,
+                                                  gatherer_config.settings, one.address, seed, most));
     }
   }
   for (const search::Protocol protocol : {search::Protocol::sru, search::Protocol::z3950}) {
--- a/src/search/desk_front.cpp
+++ b/src/search/desk_front.cpp
@@ -7,9 +7,9 @@
 
 namespace marbledyke::search {
 
-DeskFront::DeskFront(net::Loop& loop, const Terms& terms, const config::ServiceSettings& settings,
-                     std::uint32_t seed)
-    : loop_(loop), settings_(settings), desk_(terms, settings, seed) {
+DeskFront::DeskFront(net::Loop& loop, net::MemoryBudget& memory, const Terms& terms,
+                     const config::ServiceSettings& settings, std::uint32_t seed)
+    : loop_(loop), memory_(memory), settings_(settings), desk_(terms, settings, seed) {
   desk_.clock(loop_.now());
 }
 
@@ -49,13 +49,23 @@
               {"sets_evicted", d.sets_evicted}});
 }
 
+// Until it has been written to a shard server, each part holds a copy of the text.
+void DeskFront::submit(front::Request&& request) {
+  front::Multiget& multiget = request.multiget;
+  const std::size_t bytes =
+      multiget.text->size() * (1 + multiget.parts.size()) + multiget.parts.size() * sizeof(front::Part);
+  if (!memory_.make_room(bytes)) return desk_.refused(request.caller, front::Refusal::at_capacity, {});
+  multiget.text = net::held_text(memory_, std::move(multiget.text), bytes);
+  requests.push_back(std::move(request));
+}
+
 // What a reply brings about at the desk is pulled by the same round.
 void DeskFront::pump() {
   if (std::exchange(pumping_, true)) return;
   desk_.clock(loop_.now());
   for (bool any = true; any;) {
     any = false;
-    while (auto ask = desk_.next_ask()) requests.push_back(std::move(*ask));
+    while (auto ask = desk_.next_ask()) submit(std::move(*ask));
     while (const auto gone = desk_.next_left()) departed.push_back(*gone);
     while (auto reply = desk_.next_reply()) {
       any = true;
--- a/src/search/desk_front.h
+++ b/src/search/desk_front.h
@@ -7,13 +7,15 @@
 
 #include "front/front.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 #include "search/desk.h"
 
 namespace marbledyke::search {
 
 class DeskFront : public front::Front {
  public:
-  DeskFront(net::Loop& loop, const Terms& terms, const config::ServiceSettings& settings, std::uint32_t seed);
+  DeskFront(net::Loop& loop, net::MemoryBudget& memory, const Terms& terms,
+            const config::ServiceSettings& settings, std::uint32_t seed);
   ~DeskFront() override;
 
   void answer(std::uint64_t caller, bool whole, const std::vector<front::Value>& values) final;
@@ -28,10 +30,13 @@
   void pump();  // after anything was asked of the desk
 
   net::Loop& loop_;
+  net::MemoryBudget& memory_;
   const config::ServiceSettings& settings_;
   Desk desk_;
 
  private:
+  void submit(front::Request&& request);
+
   bool pumping_ = false;
   std::optional<net::Loop::Timer> wake_;
 };
--- a/src/search/query.cpp
+++ b/src/search/query.cpp
@@ -48,6 +48,13 @@
   return std::nullopt;
 }
 
+std::size_t held_bytes(const Query& query) {
+  std::size_t out =
+      sizeof query + query.index.capacity() + query.relation.capacity() + query.value.capacity();
+  for (const Query& kid : query.kids) out += held_bytes(kid);
+  return out;
+}
+
 std::string cql_of(const Query& query) {
   switch (query.op) {
     case Op::term:
--- a/src/search/query.h
+++ b/src/search/query.h
@@ -70,6 +70,9 @@
 // Throws nothing; none where it holds.
 std::optional<Diagnostic> beyond(const Query& query, const Bounds& bounds);
 
+// Returns about how many bytes of memory a query occupies.
+std::size_t held_bytes(const Query& query);
+
 // Canonical CQL (1.2): equal queries have equal texts, and every reader of CQL can take it.
 std::string cql_of(const Query& query);
 
--- a/src/sru/front.cpp
+++ b/src/sru/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "front/http_connection_memory.h"
 #include "log/log.h"
 
 namespace marbledyke::sru {
@@ -15,6 +16,7 @@
 constexpr Duration kRequestTimeout = 2s;
 constexpr Duration kIdleTimeout = 60s;  // between requests
 constexpr std::size_t kMaxResponseBytes = 16 * 1024 * 1024;
+constexpr std::size_t kScarceInputBytes = 4096;  // of pipelined requests, where memory is scarce
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
 
 // Returns the terms for one session that all clients share, with the limits of all sessions together.
@@ -44,12 +46,17 @@
   bool is_closing = false;  // after the last response; input is discarded until the client closes
   std::size_t discarded_bytes = 0;
 
-  explicit Connection(std::size_t max_body_bytes) : reader(net::HttpParser::Kind::request, max_body_bytes) {}
+  net::MemoryHolder memory;
+
+  Connection(std::size_t max_body_bytes, net::MemoryBudget& budget, std::function<void(Connection&)> release)
+      : reader(net::HttpParser::Kind::request, max_body_bytes),
+        memory(budget, [this, release] { release(*this); }) {}
 };
 
-Front::Front(net::Loop& loop, const search::Terms& terms, const config::ServiceSettings& settings,
-             const net::Address& listen, std::uint32_t seed, std::size_t max_connections)
-    : DeskFront(loop, with_shared_session(terms), settings, seed),
+Front::Front(net::Loop& loop, net::MemoryBudget& memory, const search::Terms& terms,
+             const config::ServiceSettings& settings, const net::Address& listen, std::uint32_t seed,
+             std::size_t max_connections)
+    : DeskFront(loop, memory, with_shared_session(terms), settings, seed),
       listen_(listen),
       max_connections_(max_connections),
       listener_(std::make_unique<net::Listener>(
@@ -78,7 +85,8 @@
 
 void Front::add_connection(net::Descriptor fd) {
   tally_.accepted += 1;
-  auto owned = std::make_unique<Connection>(desk_.limits().message);
+  auto owned = std::make_unique<Connection>(desk_.limits().message, memory_,
+                                            [this](Connection& one) { release_memory(one); });
   Connection* const connection = owned.get();
   connection->number = next_number_++;
   connection->idle_since = loop_.now();
@@ -91,6 +99,28 @@
 }
 
 void Front::on_data_received(Connection& connection) {
+  receive(connection);
+  update_memory(connection);
+}
+
+void Front::update_memory(Connection& connection) {
+  // The set that a pending search makes has a copy of its query.
+  const std::size_t query_bytes =
+      connection.is_request_pending ? 2 * held_bytes(connection.request.query) : 0;
+  connection.memory.update(connection.stream->held_bytes() + connection.reader.held_bytes() + query_bytes,
+                           front::releasable_since(connection));
+  const bool is_scarce = !memory_.fits(memory_.limit() / 2);
+  connection.stream->limit_input(is_scarce ? kScarceInputBytes : desk_.limits().message);
+}
+
+void Front::release_memory(Connection& connection) {
+  if (connection.is_closing || connection.is_responding) return close(connection);
+  connection.is_request_pending = true;
+  connection.keep_alive = false;
+  respond(connection, 503, "no room\n");
+}
+
+void Front::receive(Connection& connection) {
   net::RingBuffer& in = connection.stream->in();
   if (connection.is_closing) {
     connection.discarded_bytes += in.size();
@@ -143,6 +173,8 @@
                    explain_body(request, *database, address.substr(0, colon),
                                 std::atoi(address.c_str() + colon + 1), desk_.limits()));
   }
+  connection.reader.reset();
+  update_memory(connection);
   connection.operation = start_operation(connection);
   pending_operations_[connection.operation] = connection.number;
   pump();
@@ -192,6 +224,8 @@
   // Nothing has run. The HTTP status says so too, so that no cache on the way keeps the response.
   const bool is_unavailable =
       reply.diagnostic.what == Trouble::unavailable || reply.diagnostic.what == Trouble::too_busy;
+  // What has run must not look as if it may be tried again without harm.
+  if (!memory_.make_room(body.size())) return respond(connection, 500, "no room for the answer\n");
   respond(connection, is_unavailable ? 503 : 200, body, reply.come_back);
 }
 
@@ -206,8 +240,10 @@
   const std::string response =
       net::format_response(status, content_type, body, connection.keep_alive, retry_after);
   // A response that does not fit the buffer closes the connection, which the client recognises as a failure.
+  connection.request = {};
   if (!connection.stream->out().append(response)) return close(connection);
   connection.stream->flush();
+  update_memory(connection);
 }
 
 void Front::on_response_written(Connection& connection) {
@@ -240,10 +276,13 @@
   connection.stream->in().clear();
   connection.stream->shutdown_write();
   connection.stream->resume_reading();
+  update_memory(connection);
 }
 
 void Front::close(Connection& connection) {
   connection.stream->close();
+  connection.reader.reset();
+  connection.memory.update(0);
   const auto at = connections_.find(connection.number);
   if (at == connections_.end()) return;
   if (connection.operation != 0) {
--- a/src/sru/front.h
+++ b/src/sru/front.h
@@ -18,8 +18,9 @@
  public:
   // Holds at most `max_connections` at a time. Throws std::system_error where the address cannot be listened
   // on, and config::BadInput where the terms do not fit the platform's settings.
-  Front(net::Loop& loop, const search::Terms& terms, const config::ServiceSettings& settings,
-        const net::Address& listen, std::uint32_t seed, std::size_t max_connections);
+  Front(net::Loop& loop, net::MemoryBudget& memory, const search::Terms& terms,
+        const config::ServiceSettings& settings, const net::Address& listen, std::uint32_t seed,
+        std::size_t max_connections);
   ~Front() override;
 
   void announce_stop() override;
@@ -43,6 +44,9 @@
   struct Connection;
   void add_connection(net::Descriptor fd);
   void on_data_received(Connection& connection);
+  void receive(Connection& connection);
+  void update_memory(Connection& connection);
+  void release_memory(Connection& connection);
   void on_request_complete(Connection& connection);
   search::Operation start_operation(const Connection& connection);
   void respond(Connection& connection, int status, const std::string& body, Duration retry_after = {});
--- a/src/standins/search_server.cpp
+++ b/src/standins/search_server.cpp
@@ -51,9 +51,9 @@
 
 void SearchServer::listen() {
   if (protocol_ == search::Protocol::sru) {
-    front_ = std::make_unique<sru::Front>(loop_, terms_, settings_, address_, 1, 200);
+    front_ = std::make_unique<sru::Front>(loop_, memory_, terms_, settings_, address_, 1, 200);
   } else {
-    front_ = std::make_unique<z3950::Front>(loop_, terms_, settings_, address_, 1, 200);
+    front_ = std::make_unique<z3950::Front>(loop_, memory_, terms_, settings_, address_, 1, 200);
   }
 }
 
--- a/src/standins/search_server.h
+++ b/src/standins/search_server.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
 
 #include "config/gatherer_config.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 #include "search/desk_front.h"
 #include "standins/catalogue.h"
 
@@ -43,6 +45,7 @@
   void listen();
 
   net::Loop& loop_;
+  net::MemoryBudget memory_{std::numeric_limits<std::size_t>::max()};
   search::Protocol protocol_;
   net::Address address_;
   const Catalogue& catalogue_;
--- a/src/z3950/front.cpp
+++ b/src/z3950/front.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t kMaxOutputBytes = 16 * 1024 * 1024;
 constexpr std::size_t kMaxUnreadBytes = 256 * 1024;  // of responses; beyond it no operation begins
 constexpr std::int64_t kMinMessageBytes = 4096;
+constexpr std::size_t kScarceInputBytes = 4096;  // of messages that wait, where memory is scarce
 
 // Whether a message is handled while an operation is pending: trigger resource control (tag 32) and close
 // (tag 48).
@@ -177,12 +178,17 @@
   std::int64_t preferred = 0, exceptional = 0;  // sizes of messages and records, as negotiated
   std::map<search::Operation, PendingOperation> pending;
 
-  explicit Association(std::size_t max_message_bytes) : scanner(max_message_bytes, kMaxBerDepth) {}
+  net::MemoryHolder memory;
+
+  Association(std::size_t max_message_bytes, net::MemoryBudget& budget,
+              std::function<void(Association&)> release)
+      : scanner(max_message_bytes, kMaxBerDepth), memory(budget, [this, release] { release(*this); }) {}
 };
 
-Front::Front(net::Loop& loop, const search::Terms& terms, const config::ServiceSettings& settings,
-             const net::Address& listen, std::uint32_t seed, std::size_t max_connections)
-    : DeskFront(loop, terms, settings, seed),
+Front::Front(net::Loop& loop, net::MemoryBudget& memory, const search::Terms& terms,
+             const config::ServiceSettings& settings, const net::Address& listen, std::uint32_t seed,
+             std::size_t max_connections)
+    : DeskFront(loop, memory, terms, settings, seed),
       max_connections_(max_connections),
       listener_(std::make_unique<net::Listener>(
           loop, listen,
@@ -199,7 +205,8 @@
 
 void Front::add_connection(net::Descriptor fd) {
   tally_.accepted += 1;
-  auto made = std::make_unique<Association>(desk_.limits().message);
+  auto made = std::make_unique<Association>(desk_.limits().message, memory_,
+                                            [this](Association& one) { release_memory(one); });
   Association* const association = made.get();
   association->number = next_number_++;
   association->since = loop_.now();
@@ -220,6 +227,34 @@
 }
 
 void Front::on_data_received(Association& association) {
+  receive(association);
+  update_memory(association);
+}
+
+// A session with a pending operation is kept. Others may be opened again.
+std::optional<Duration> Front::releasable_since(const Association& association) const {
+  if (association.stream->is_closed()) return std::nullopt;
+  if (association.is_closing) return association.since;
+  if (!association.pending.empty()) return std::nullopt;
+  if (!association.stream->out().empty()) return association.since;
+  return association.scanner.begun() ? std::optional(association.first_byte_at) : std::nullopt;
+}
+
+void Front::update_memory(Association& association) {
+  association.memory.update(association.stream->held_bytes() + association.partial_message.capacity() +
+                                association.deferred_message.capacity(),
+                            releasable_since(association));
+  const bool is_scarce = !memory_.fits(memory_.limit() / 2);
+  association.stream->limit_input(is_scarce ? kScarceInputBytes : desk_.limits().message);
+}
+
+void Front::release_memory(Association& association) {
+  if (association.is_closing || !association.stream->out().empty()) return close(association);
+  std::string().swap(association.partial_message);
+  send_close(association, Z_Close_systemProblem, "no room");
+}
+
+void Front::receive(Association& association) {
   net::RingBuffer& in = association.stream->in();
   if (association.is_closing) return in.clear();
   if (!association.deferred_message.empty() && may_begin_operation(association)) {
@@ -776,6 +811,7 @@
   if (!association.stream->out().append(bytes)) return close(association);
   association.since = loop_.now();
   association.stream->flush();
+  update_memory(association);
 }
 
 void Front::send_close(Association& association, int reason, const char* why) {
@@ -799,6 +835,7 @@
 
 void Front::close(Association& association) {
   association.stream->close();
+  association.memory.update(0);
   const auto found = associations_.find(association.number);
   if (found == associations_.end()) return;
   for (const auto& [operation, pending] : association.pending) associations_by_operation_.erase(operation);
--- a/src/z3950/front.h
+++ b/src/z3950/front.h
@@ -22,8 +22,9 @@
 class Front final : public search::DeskFront {
  public:
   // As in sru::Front.
-  Front(net::Loop& loop, const search::Terms& terms, const config::ServiceSettings& settings,
-        const net::Address& listen, std::uint32_t seed, std::size_t max_connections);
+  Front(net::Loop& loop, net::MemoryBudget& memory, const search::Terms& terms,
+        const config::ServiceSettings& settings, const net::Address& listen, std::uint32_t seed,
+        std::size_t max_connections);
   ~Front() override;
 
   void announce_stop() override {}  // the protocol has no such message; a Close follows later
@@ -49,6 +50,10 @@
   struct PendingOperation;
   void add_connection(net::Descriptor fd);
   void on_data_received(Association& association);
+  void receive(Association& association);
+  std::optional<Duration> releasable_since(const Association& association) const;
+  void update_memory(Association& association);
+  void release_memory(Association& association);
   void schedule_reading(Association& association);
   bool may_begin_operation(const Association& association) const;
   void on_message(Association& association, const std::string& bytes);
--- a/tests/departure_traces.cpp
+++ b/tests/departure_traces.cpp
@@ -8,6 +8,7 @@
 
 #include "scene.h"
 #include "search/part.h"
+#include "search_scene.h"
 #include "sru/front.h"
 #include "z3950/front.h"
 #include "z3950/talk.h"
@@ -17,34 +18,7 @@
 
 namespace {
 
-constexpr int kClientsThatReset = 4;         // the scene's limit of pending multigets allows for no more
-constexpr std::size_t kMaxConnections = 50;  // of the front under test
-
-net::Address front_address() { return *net::parse_address(address(3)); }
-
-search::Terms search_terms() {
-  search::Index index;
-  index.name = "dc.title";
-  index.use = 4;
-  search::Database database;
-  database.name = "clauses";
-  database.op_type = "issue";
-  database.shards = {1};
-  database.indexes.push_back(index);
-  search::Terms terms;
-  terms.databases.push_back(database);
-  return terms;
-}
-
-// Adds a front to the scene's gatherer and returns it.
-template <class Front>
-Front& add_front(Scene& scene) {
-  auto front = std::make_unique<Front>(scene.gatherer.loop(), search_terms(), scene.gatherer_config.settings,
-                                       front_address(), 1, kMaxConnections);
-  Front& added = *front;
-  scene.gatherer.add(std::move(front));
-  return added;
-}
+constexpr int kClientsThatReset = 4;  // the scene's limit of pending multigets allows for no more
 
 // Resets the connections in the next turn, after its events and before any timer of the gatherer.
 void reset_before_timers(Scene& scene, std::list<Connection>& connections) {
--- a/tests/memory_traces.cpp
+++ b/tests/memory_traces.cpp
@@ -10,6 +10,9 @@
 
 #include "net/memory_budget.h"
 #include "scene.h"
+#include "search_scene.h"
+#include "sru/front.h"
+#include "z3950/front.h"
 
 using namespace marbledyke;
 using namespace marbledyke::scene;
@@ -105,6 +108,41 @@
                                                                 : "MEMORY IS HELD FOR CLIENTS THAT LEFT");
 }
 
+// Clients of a front for searching that send these bytes, half of a large request, and stop. `refusal` is in
+// the answer of those that do not fit.
+template <class Front>
+void half_searches(const std::string& bytes, const char* refusal) {
+  FakeShardServer server(11);
+  ManualClock clock;
+  Scene scene(list_entry("A", 11), clock, kLeastMemory);
+  scene.fake_servers = {&server};
+  const Front& front = add_front<Front>(scene, kManyClients);
+  std::list<Connection> clients;
+  for (int i = 0; i < kManyClients; ++i) {
+    clients.push_back({net::start_connect(front_address())});
+    clients.back().write(bytes);
+    scene.advance(1ms);
+  }
+  scene.advance(5ms);
+  const net::MemoryBudget& memory = scene.gatherer.client_memory();
+  print(memory.used() <= kBudgetBytes ? "within the budget" : "BEYOND THE BUDGET");
+  print(clients.front().read_available().find(refusal) != std::string::npos ? "the oldest is refused at once"
+                                                                            : "THE OLDEST IS NOT REFUSED");
+  print(clients.back().read_available().empty() ? "the newest may go on" : "THE NEWEST IS REFUSED");
+  print(front.size() > 0 ? "the front goes on" : "NOBODY IS LEFT");
+  serve_usual_client(scene, server);
+}
+
+void half_sru_requests() {
+  half_searches<sru::Front>(head("m", kLargeTextBytes) + std::string(kLargeTextBytes - 1, 'x'), "503");
+}
+
+void half_z3950_messages() {
+  // An element of 61,440 bytes, and in it one of 57,344.
+  const std::string begin("\xb6\x82\xf0\x00\x9f\x6f\x82\xe0\x00", 9);
+  half_searches<z3950::Front>(begin + std::string(50'000, 'x'), "no room");
+}
+
 // Clients that send much behind a request that is pending.
 void pipelined_requests() {
   FakeShardServer server(11);
@@ -161,7 +199,9 @@
   const std::pair<const char*, void (*)()> cases[] = {{"order", order},
                                                       {"half_requests", half_requests},
                                                       {"large_requests", large_requests},
-                                                      {"pipelined_requests", pipelined_requests}};
+                                                      {"pipelined_requests", pipelined_requests},
+                                                      {"half_sru_requests", half_sru_requests},
+                                                      {"half_z3950_messages", half_z3950_messages}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
       run();
