Search fronts: places held by half requests no longer push usual clients out

Cause: with all places taken, release_connection() closed a silent connection, however young, rather than a half request, so each client that had just connected gave way to the next. Listener asked for room, and the front closed a connection, also where nobody waited. Change: eviction_rank() moves from clients to front, and SRU and Z39.50 use it; what gives way with half a request is told. Listener asks for room only where a connection waits.

--- a/src/clients/http_front.cpp
+++ b/src/clients/http_front.cpp
@@ -150,15 +150,15 @@
   if (over_capacity) connection->stream->read_available();
 }
 
-// Accepting is retried when a connection closes, after kFirstRequestGrace (when a silent connection over
-// capacity can be closed), and by check_timeouts().
+// Accepting is retried when a connection closes, after front::kFirstRequestGrace (when a silent connection
+// over capacity can be closed), and by check_timeouts().
 void HttpFront::schedule_accept() {
   may_accept_more_ = true;
   static log::RateLimitedEvent throttled(log::Level::warning, "client.not_accepted");
   throttled.write({{"why", is_at_descriptor_limit() ? "all slots and reserved descriptors are in use"
                                                     : "out of descriptors"}});
   if (std::exchange(is_accept_scheduled_, true)) return;
-  loop_.call_at(loop_.now() + kFirstRequestGrace, [this] {
+  loop_.call_at(loop_.now() + front::kFirstRequestGrace, [this] {
     is_accept_scheduled_ = false;
     accept();
   });
@@ -433,13 +433,13 @@
 // Returns the eligible connection that is to be closed first; null if none can be closed.
 HttpFront::Connection* HttpFront::eviction_candidate(bool (*is_eligible)(const Connection&)) const {
   Connection* first = nullptr;
-  std::optional<EvictionRank> lowest;
+  std::optional<front::EvictionRank> lowest;
   for (const auto& [number, connection] : connections_) {
     if (!is_eligible(*connection)) continue;
     const Activity current = activity(*connection);
     const Duration since =
         current == Activity::receiving ? connection->first_byte_at : connection->idle_since;
-    const auto rank = eviction_rank(current, since, loop_.now(), settings_.connect_timeout);
+    const auto rank = front::eviction_rank(current, since, loop_.now(), settings_.connect_timeout);
     if (!rank || (lowest && *lowest <= *rank)) continue;
     lowest = rank;
     first = connection.get();
@@ -531,7 +531,7 @@
   while (accept()) {
   }
   if (!listener_ || !net::has_pending_connection(listener_.get())) return close_listener();
-  loop_.call_at(loop_.now() + kFirstRequestGrace, [this] { close_listener_when_queue_is_empty(); });
+  loop_.call_at(loop_.now() + front::kFirstRequestGrace, [this] { close_listener_when_queue_is_empty(); });
 }
 
 void HttpFront::close_listener() {
--- a/src/clients/http_front.h
+++ b/src/clients/http_front.h
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "clients/eviction.h"
 #include "clients/multiget_request.h"
+#include "front/eviction.h"
 #include "net/descriptor_reserve.h"
 #include "net/http.h"
 #include "net/loop.h"
@@ -21,6 +21,7 @@
 
 namespace marbledyke::clients {
 
+using front::Activity;
 using front::Request;
 
 // Descriptors reserved for connections that find no free slot; a quarter of all where that is less. Each is
--- a/src/clients/eviction.cpp
+++ b/src/front/eviction.cpp
@@ -1,8 +1,8 @@
-#include "clients/eviction.h"
+#include "front/eviction.h"
 
 #include <array>
 
-namespace marbledyke::clients {
+namespace marbledyke::front {
 namespace {
 
 struct Rule {
@@ -34,4 +34,4 @@
   return std::nullopt;
 }
 
-}  // namespace marbledyke::clients
+}  // namespace marbledyke::front
--- a/src/clients/eviction.h
+++ b/src/front/eviction.h
@@ -7,7 +7,7 @@
 
 #include "model/types.h"
 
-namespace marbledyke::clients {
+namespace marbledyke::front {
 
 // What a connection is doing, as far as closing it is concerned.
 enum class Activity {
@@ -31,4 +31,4 @@
 // the protocol allows on sockets.
 inline constexpr Duration kFirstRequestGrace = std::chrono::milliseconds(50);
 
-}  // namespace marbledyke::clients
+}  // namespace marbledyke::front
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -23,7 +23,10 @@
 void Listener::accept() {
   backlog_pending_ = true;
   for (int count = 0; fd_ && count < kMaxAcceptsPerTurn; ++count) {
-    if (!callbacks_.has_room()) return;
+    if (!callbacks_.has_room()) {
+      backlog_pending_ = has_pending_connection(fd_.get());
+      if (!backlog_pending_ || !callbacks_.make_room()) return;
+    }
     Descriptor fd = accept_connection(fd_.get());
     if (!fd) {
       if (errno == EINTR || errno == ECONNABORTED) continue;
@@ -32,7 +35,7 @@
       backlog_pending_ = errno != EAGAIN && errno != EWOULDBLOCK;
       if (errno == EMFILE || errno == ENFILE) {
         backlog_pending_ = has_pending_connection(fd_.get());
-        if (backlog_pending_ && callbacks_.free_descriptor()) continue;
+        if (backlog_pending_ && callbacks_.make_room()) continue;
       }
       return;
     }
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -14,8 +14,9 @@
 class Listener final : public EventHandler {
  public:
   struct Callbacks {
-    std::function<bool()> has_room;  // asked before each accept; false leaves the connection in the backlog
-    std::function<bool()> free_descriptor;  // called when no descriptor is left; true: the owner closed one
+    std::function<bool()> has_room;   // asked before each accept
+    std::function<bool()> make_room;  // called when a connection waits for room or for a descriptor; true:
+                                      // the owner closed another one. Otherwise it stays in the backlog
     std::function<void(Descriptor)> on_accepted;
   };
   // Throws std::system_error where the address cannot be listened on.
--- a/src/sru/front.cpp
+++ b/src/sru/front.cpp
@@ -61,10 +61,9 @@
       max_connections_(max_connections),
       listener_(std::make_unique<net::Listener>(
           loop, listen,
-          net::Listener::Callbacks{
-              [this] { return connections_.size() < max_connections_ || release_connection(); },
-              [this] { return release_connection(); },
-              [this](net::Descriptor fd) { add_connection(std::move(fd)); }})) {
+          net::Listener::Callbacks{[this] { return connections_.size() < max_connections_; },
+                                   [this] { return release_connection(); },
+                                   [this](net::Descriptor fd) { add_connection(std::move(fd)); }})) {
   check_timeouts();
 }
 
@@ -115,6 +114,11 @@
 
 void Front::release_memory(Connection& connection) {
   if (connection.is_closing || connection.is_responding) return close(connection);
+  refuse(connection);
+}
+
+// Precedes the end of the request: the client reads the refusal as the response to what it is sending.
+void Front::refuse(Connection& connection) {
   connection.is_request_pending = true;
   connection.keep_alive = false;
   respond(connection, 503, "no room\n");
@@ -321,28 +325,49 @@
     respond(*connection, 408, "the request does not end\n");
   }
   for (Connection* connection : expired) close(*connection);
+  // A connection may have become old enough to give way to one that waits.
+  if (listener_) listener_->resume();
   timeout_timer_ = loop_.call_at(now + kTimeoutCheckInterval, [this] { check_timeouts(); });
 }
 
-// Closes the connection that is least harmful to close: one that closes anyway, then a silent one, an idle
-// one, and one with an incomplete request; among equals the one that has been so for longest.
-bool Front::release_connection() {
-  const auto rank = [](const Connection& connection) {
-    const int harm = connection.is_closing             ? 0
-                     : !connection.has_sent_data       ? 1
-                     : connection.reader.has_started() ? 3
-                                                       : 2;
-    return std::make_pair(harm, connection.idle_since);
-  };
+front::Activity Front::activity(const Connection& connection) const {
+  using front::Activity;
+  if (connection.is_request_pending || connection.is_responding) return Activity::busy;
+  if (connection.is_closing) return Activity::closing;
+  if (connection.reader.has_started()) return Activity::receiving;
+  return connection.has_sent_data ? Activity::idle : Activity::silent;
+}
+
+// Returns the connection that is to be closed first; null if none can be closed.
+Front::Connection* Front::eviction_candidate() const {
   Connection* first = nullptr;
+  std::optional<front::EvictionRank> lowest;
   for (const auto& [number, connection] : connections_) {
-    if (connection->is_request_pending || connection->is_responding) continue;
-    if (first == nullptr || rank(*connection) < rank(*first)) first = connection.get();
+    const front::Activity current = activity(*connection);
+    const Duration since =
+        current == front::Activity::receiving ? connection->first_byte_at : connection->idle_since;
+    const auto rank = front::eviction_rank(current, since, loop_.now(), settings_.connect_timeout);
+    if (!rank || (lowest && *lowest <= *rank)) continue;
+    lowest = rank;
+    first = connection.get();
+  }
+  return first;
+}
+
+// Reads from the connection before, since its request may have arrived without being reported yet: it is kept
+// then, and another one is tried.
+bool Front::release_connection() {
+  while (Connection* const candidate = eviction_candidate()) {
+    const front::Activity before = activity(*candidate);
+    candidate->stream->read_available();
+    if (candidate->stream->is_closed()) return true;
+    if (activity(*candidate) != before) continue;
+    tally_.evicted += 1;
+    if (before == front::Activity::receiving) refuse(*candidate);
+    if (!candidate->stream->is_closed()) close(*candidate);
+    return true;
   }
-  if (first == nullptr) return false;
-  tally_.evicted += 1;
-  close(*first);
-  return true;
+  return false;
 }
 
 void Front::announce_stop() { is_stopping_ = true; }
--- a/src/sru/front.h
+++ b/src/sru/front.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "front/eviction.h"
 #include "net/http.h"
 #include "net/listener.h"
 #include "net/socket.h"
@@ -46,6 +47,7 @@
   void on_data_received(Connection& connection);
   void receive(Connection& connection);
   void update_memory(Connection& connection);
+  void refuse(Connection& connection);
   void release_memory(Connection& connection);
   void on_request_complete(Connection& connection);
   search::Operation start_operation(const Connection& connection);
@@ -55,6 +57,8 @@
   void close_gracefully(Connection& connection);
   void close(Connection& connection);
   void check_timeouts();
+  front::Activity activity(const Connection& connection) const;
+  Connection* eviction_candidate() const;
   void replied(search::Reply&& reply) override;
   void session_over(search::Session session) override;
   search::Session session();
--- a/src/z3950/front.cpp
+++ b/src/z3950/front.cpp
@@ -192,10 +192,9 @@
       max_connections_(max_connections),
       listener_(std::make_unique<net::Listener>(
           loop, listen,
-          net::Listener::Callbacks{
-              [this] { return associations_.size() < max_connections_ || release_connection(); },
-              [this] { return release_connection(); },
-              [this](net::Descriptor fd) { add_connection(std::move(fd)); }})) {
+          net::Listener::Callbacks{[this] { return associations_.size() < max_connections_; },
+                                   [this] { return release_connection(); },
+                                   [this](net::Descriptor fd) { add_connection(std::move(fd)); }})) {
   check_timeouts();
 }
 
@@ -878,25 +877,50 @@
     send_close(*association, Z_Close_protocolError, "the message does not end");
   for (Association* association : unread) close(*association);
   for (Association* association : expired) close(*association);
+  // A connection may have become old enough to give way to one that waits.
+  if (listener_) listener_->resume();
   timeout_timer_ = loop_.call_at(now + kTimeoutCheckInterval, [this] { check_timeouts(); });
 }
 
-// Closes the connection that is least harmful to close: one that closes anyway, then one without an Init,
-// then an idle session, which can be opened again; among equals the one that has been so for longest.
-bool Front::release_connection() {
-  const auto rank = [](const Association& association) {
-    return std::make_pair(association.is_closing ? 0 : !association.initialised ? 1 : 2, association.since);
-  };
+front::Activity Front::activity(const Association& association) const {
+  using front::Activity;
+  if (association.is_closing) return Activity::closing;
+  if (!association.pending.empty() || !association.stream->out().empty()) return Activity::busy;
+  if (association.scanner.begun()) return Activity::receiving;
+  return association.initialised ? Activity::idle : Activity::silent;
+}
+
+// Returns the connection that is to be closed first; null if none can be closed. An idle session can be
+// opened again.
+Front::Association* Front::eviction_candidate() const {
   Association* first = nullptr;
+  std::optional<front::EvictionRank> lowest;
   for (const auto& [number, association] : associations_) {
-    if (!association->pending.empty() || (association->initialised && !association->stream->out().empty()))
-      continue;
-    if (first == nullptr || rank(*association) < rank(*first)) first = association.get();
-  }
-  if (first == nullptr) return false;
-  tally_.evicted += 1;
-  close(*first);
-  return true;
+    const front::Activity current = activity(*association);
+    const Duration since =
+        current == front::Activity::receiving ? association->first_byte_at : association->since;
+    const auto rank = front::eviction_rank(current, since, loop_.now(), settings_.connect_timeout);
+    if (!rank || (lowest && *lowest <= *rank)) continue;
+    lowest = rank;
+    first = association.get();
+  }
+  return first;
+}
+
+// Reads from the connection before, since a message may have arrived without being reported yet: it is kept
+// then, and another one is tried.
+bool Front::release_connection() {
+  while (Association* const candidate = eviction_candidate()) {
+    const front::Activity before = activity(*candidate);
+    candidate->stream->read_available();
+    if (candidate->stream->is_closed()) return true;
+    if (activity(*candidate) != before) continue;
+    tally_.evicted += 1;
+    if (before == front::Activity::receiving) send_close(*candidate, Z_Close_systemProblem, "no room");
+    if (!candidate->stream->is_closed()) close(*candidate);
+    return true;
+  }
+  return false;
 }
 
 void Front::stop_accepting() {
--- a/src/z3950/front.h
+++ b/src/z3950/front.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "front/eviction.h"
 #include "net/listener.h"
 #include "net/socket.h"
 #include "search/desk_front.h"
@@ -76,6 +77,8 @@
   void on_output_written(Association& association);
   void close(Association& association);
   void check_timeouts();
+  front::Activity activity(const Association& association) const;
+  Association* eviction_candidate() const;
 
   std::size_t max_connections_;
   std::unique_ptr<net::Listener> listener_;
--- a/tests/memory_traces.cpp
+++ b/tests/memory_traces.cpp
@@ -13,6 +13,7 @@
 #include "search_scene.h"
 #include "sru/front.h"
 #include "z3950/front.h"
+#include "z3950/talk.h"
 
 using namespace marbledyke;
 using namespace marbledyke::scene;
@@ -35,6 +36,8 @@
   return R"({"slices":[{"slice":1,"mass":1}],"filter":")" + std::string(text_bytes, 'f') + "\"}";
 }
 
+void print_count(const char* what, std::ptrdiff_t count) { print(what + (": " + std::to_string(count))); }
+
 // Prints whether the budget is kept, and how many clients have got which status.
 void print_state(Scene& scene, std::list<Client>& clients) {
   int refused = 0, served = 0;
@@ -143,6 +146,46 @@
   half_searches<z3950::Front>(begin + std::string(50'000, 'x'), "no room");
 }
 
+// Every place of a front is held by a client that stops half way. Clients that connect one after the other
+// before they send anything are served all the same, and those that give way are told so. Guards against
+// usual clients that are closed in favour of the next one.
+template <class Front>
+void places_held(const std::string& half_request, const std::string& request, const char* refusal) {
+  constexpr int kPlaces = 20;
+  ManualClock clock;
+  Scene scene(list_entry("A", 11), clock);
+  add_front<Front>(scene, kPlaces);
+  std::list<Connection> holding, usual;
+  for (int i = 0; i < kPlaces; ++i) {
+    holding.push_back({net::start_connect(front_address())});
+    holding.back().write(half_request);
+  }
+  scene.advance(300ms);  // longer than a usual client may take
+  for (int i = 0; i < 5; ++i) {
+    usual.push_back({net::start_connect(front_address())});
+    scene.advance(2ms);
+  }
+  for (Connection& client : usual) client.write(request);
+  scene.advance(20ms);
+  print_count("served of 5 usual clients", std::count_if(usual.begin(), usual.end(), [](Connection& client) {
+                return !client.read_available().empty();
+              }));
+  print_count("refused of 20 that hold the places",
+              std::count_if(holding.begin(), holding.end(), [&](Connection& client) {
+                return client.read_available().find(refusal) != std::string::npos;
+              }));
+}
+
+void sru_places_held() {
+  places_held<sru::Front>("GET /clauses HTTP/1.1\r\nHost",
+                          "GET /clauses?operation=explain&version=1.2 HTTP/1.1\r\n\r\n", "503");
+}
+
+void z3950_places_held() {
+  const std::string init = z3950::Talk("clauses").greeting();
+  places_held<z3950::Front>(init.substr(0, 5), init, "no room");
+}
+
 // Clients that send much behind a request that is pending.
 void pipelined_requests() {
   FakeShardServer server(11);
@@ -201,7 +244,9 @@
                                                       {"large_requests", large_requests},
                                                       {"pipelined_requests", pipelined_requests},
                                                       {"half_sru_requests", half_sru_requests},
-                                                      {"half_z3950_messages", half_z3950_messages}};
+                                                      {"half_z3950_messages", half_z3950_messages},
+                                                      {"sru_places_held", sru_places_held},
+                                                      {"z3950_places_held", z3950_places_held}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
       run();
