A stream reads a bounded number of bytes in a turn; Z39.50 messages too are bounded

Cause: Stream::resume_reading() read until the socket was empty, which it never is where bytes are dropped as fast as they come: the Z39.50 front drops without a bound behind a Close. It also handled as many messages as came, 800 in a turn. Change: 256 KiB a turn for any stream, then a timer goes on; a hang-up seen meanwhile is kept. 16 messages of a Z39.50 client, then the others' events. Failed try: with the timer alone a turn read all the same, since new edges are delivered again in the same turn; a stream that waits for its timer ignores them.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -9,6 +9,9 @@
 namespace marbledyke::net {
 namespace {
 
+// A peer that sends faster than its bytes are consumed must not keep the loop from other events.
+constexpr std::size_t kMaxBytesPerTurn = 256 * 1024;
+
 // Turns Nagle's algorithm off. Fails without harm on Unix sockets, which have no such option.
 void disable_nagle(int fd) {
   const int on = 1;
@@ -79,6 +82,8 @@
 void Stream::close() {
   if (!fd_) return;
   loop_.unwatch(fd_.get(), watch_id_);
+  if (read_timer_) loop_.cancel(*read_timer_);
+  read_timer_.reset();
   fd_.close();
   in_.clear();
   out_.clear();
@@ -112,17 +117,24 @@
   if (writable && !out_.empty()) flush();
   if (readable && !is_closed()) {
     unread_ = true;
-    resume_reading();
+    if (!read_timer_) resume_reading();
   }
 }
 
 void Stream::resume_reading() {
+  std::size_t received_bytes = 0;
   while (unread_ && !is_closed()) {
-    if (is_input_full()) return;  // the owner calls resume_reading() once it has taken bytes
+    if (is_input_full()) {
+      // The owner calls resume_reading() once it has taken bytes.
+      if (hung_up_) end(true);
+      return;
+    }
+    if (received_bytes >= kMaxBytesPerTurn) return read_on_next_turn();
     const std::span<char> free = in_.prepare();
     const ssize_t received = recv(fd_.get(), free.data(), free.size(), 0);
     if (received > 0) {
       in_.commit(static_cast<std::size_t>(received));
+      received_bytes += static_cast<std::size_t>(received);
       if (callbacks_.on_data) callbacks_.on_data();
     } else if (received == 0) {
       return end(false);
@@ -134,6 +146,14 @@
   }
 }
 
+void Stream::read_on_next_turn() {
+  if (read_timer_) return;
+  read_timer_ = loop_.call_at(loop_.now(), [this] {
+    read_timer_.reset();
+    resume_reading();
+  });
+}
+
 void Stream::read_available() {
   unread_ = connected_;
   resume_reading();
@@ -142,6 +162,7 @@
 // While in() is full, the end of the stream lies behind unread bytes, and the owner may take as long as a
 // whole answer before it makes room for them. The hang-up is therefore reported at once.
 void Stream::on_hang_up() {
+  hung_up_ = true;
   if (connected_ && is_input_full() && !is_closed()) end(true);
 }
 
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "net/address.h"
 #include "net/descriptor.h"
@@ -65,6 +66,7 @@
  private:
   void end(bool reset);
   bool is_input_full() const { return in_.full() || in_.size() >= max_in_; }
+  void read_on_next_turn();
 
   Loop& loop_;
   Descriptor fd_;
@@ -72,10 +74,12 @@
   bool connected_;
   bool flushing_ = false;
   bool reset_ = false;
-  bool unread_ = false;  // the socket may hold bytes that were not read, as epoll reports edges only
+  bool hung_up_ = false;  // the peer's end lies behind bytes that were not read
+  bool unread_ = false;   // the socket may hold bytes that were not read, as epoll reports edges only
   std::size_t max_in_;
   RingBuffer in_, out_;
   Callbacks callbacks_;
+  std::optional<Loop::Timer> read_timer_;
 };
 
 }  // namespace marbledyke::net
--- a/src/z3950/front.cpp
+++ b/src/z3950/front.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t kMaxBerDepth = 500;  // of nested elements
 constexpr std::size_t kMaxOutputBytes = 16 * 1024 * 1024;
 constexpr std::size_t kMaxUnreadBytes = 256 * 1024;  // of responses; beyond it no operation begins
+constexpr int kMaxMessagesPerTurn = 16;              // of one client, so that others are served in between
 constexpr std::int64_t kMinMessageBytes = 4096;
 constexpr std::size_t kScarceInputBytes = 4096;  // of messages that wait, where memory is scarce
 
@@ -175,6 +176,7 @@
   search::Session session = 0;
   bool initialised = false, concurrent = false, segments = false;
   bool is_closing = false;  // after the last response; input is discarded until the client closes
+  bool is_reading_scheduled = false;
   std::int64_t preferred = 0, exceptional = 0;  // sizes of messages and records, as negotiated
   std::map<search::Operation, PendingOperation> pending;
 
@@ -256,12 +258,13 @@
 void Front::receive(Association& association) {
   net::RingBuffer& in = association.stream->in();
   if (association.is_closing) return in.clear();
+  if (association.is_reading_scheduled) return;
   if (!association.deferred_message.empty() && may_begin_operation(association)) {
     on_message(association, std::exchange(association.deferred_message, {}));
     if (association.stream->is_closed() || association.is_closing) return;
   }
   // One message is read ahead, so that a cancel or a close is handled while an operation is pending.
-  while (!in.empty() && association.deferred_message.empty()) {
+  for (int messages = 0; !in.empty() && association.deferred_message.empty();) {
     if (!association.scanner.begun()) association.first_byte_at = loop_.now();
     const std::string_view bytes = in.front();
     const std::size_t used = association.scanner.take(bytes);
@@ -280,16 +283,19 @@
     }
     on_message(association, whole);
     if (association.stream->is_closed() || association.is_closing) return;
+    if (++messages == kMaxMessagesPerTurn) return schedule_reading(association);
   }
 }
 
 // Handles deferred messages, and what has been received meanwhile, after the events of other connections.
 void Front::schedule_reading(Association& association) {
+  if (std::exchange(association.is_reading_scheduled, true)) return;
   loop_.call_at(loop_.now(), [this, number = association.number, alive = std::weak_ptr(alive_)] {
     if (alive.expired()) return;
     const auto found = associations_.find(number);
     if (found == associations_.end()) return;
     Association& next = *found->second;  // may be closed below, but is destroyed only after the turn
+    next.is_reading_scheduled = false;
     on_data_received(next);
     next.stream->resume_reading();
   });
