JSON servers: one request a turn for each client, and a limit on what clients hold

What operators could see: a client of a keeper or control node that pipelines small requests keeps its process from all others, in calls nested as deep as bytes come; and connections hold bodies and unread answers without a limit. Cause: on_data() and the end of each response read on from within themselves; no budget. Change: the next request is served by a timer, as in the fronts; Limits::max_held_bytes is a MemoryBudget of the server's connections. Both are in this commit, as they touch the same few functions.

--- a/src/net/json_server.cpp
+++ b/src/net/json_server.cpp
@@ -15,7 +15,8 @@
 }  // namespace
 
 struct JsonServer::Connection {
-  explicit Connection(std::size_t max_body) : parser(HttpParser::Kind::request, max_body) {}
+  Connection(std::size_t max_body, MemoryBudget& budget, std::function<void(Connection&)> release)
+      : parser(HttpParser::Kind::request, max_body), memory(budget, [this, release] { release(*this); }) {}
 
   enum class Phase {
     reading,
@@ -30,10 +31,11 @@
   Phase phase = Phase::reading;
   Duration since{};  // the request's first byte, the beginning of the phase, or the end of the former request
   bool keep_alive = true;
+  MemoryHolder memory;
 };
 
 JsonServer::JsonServer(Loop& loop, const Address& address, const Limits& limits, Callbacks callbacks)
-    : loop_(loop), limits_(limits), callbacks_(std::move(callbacks)) {
+    : loop_(loop), limits_(limits), callbacks_(std::move(callbacks)), memory_(limits.max_held_bytes) {
   const std::string text = address.text();
   if (address.family() == Family::local && text.starts_with("unix:/")) {
     path_ = text.substr(5);
@@ -53,7 +55,8 @@
 }
 
 void JsonServer::on_accepted(Descriptor fd) {
-  auto owned = std::make_unique<Connection>(limits_.max_body_bytes);
+  auto owned = std::make_unique<Connection>(limits_.max_body_bytes, memory_,
+                                            [this](Connection& one) { release_memory(one); });
   Connection* const connection = owned.get();
   connection->id = next_id_++;
   connection->since = loop_.now();
@@ -68,14 +71,30 @@
 void JsonServer::on_drained(Connection& connection) {
   if (connection.phase != Connection::Phase::answering) return;
   connection.since = loop_.now();
-  connection.phase = connection.keep_alive ? Connection::Phase::reading : Connection::Phase::parting;
-  // Closing with unread input would send a reset, which can discard the response on its way.
-  if (!connection.keep_alive) return connection.stream->shutdown_write();
+  if (!connection.keep_alive) {
+    connection.phase = Connection::Phase::parting;
+    // Closing with unread input would send a reset, which can discard the response on its way.
+    return connection.stream->shutdown_write();
+  }
+  // The next request is served after the events of other connections, and not within this call: a client that
+  // pipelines requests would make the calls nest without end.
+  loop_.call_at(loop_.now(), [this, id = connection.id, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) serve_next_request(id);
+  });
+}
+
+void JsonServer::serve_next_request(ConnectionId id) {
+  const auto at = connections_.find(id);
+  if (at == connections_.end()) return;
+  Connection& connection = *at->second;  // may be dropped below, but is destroyed only in a later turn
+  connection.phase = Connection::Phase::reading;
   on_data(connection);
+  connection.stream->resume_reading();
 }
 
 void JsonServer::drop(Connection& connection) {
   connection.stream->close();
+  connection.memory.update(0);
   const auto at = connections_.find(connection.id);
   if (at == connections_.end()) return;
   const bool was_waiting = connection.phase == Connection::Phase::waiting;
@@ -87,12 +106,17 @@
 }
 
 void JsonServer::on_data(Connection& connection) {
+  read_requests(connection);
+  update_memory(connection);
+}
+
+void JsonServer::read_requests(Connection& connection) {
   using Phase = Connection::Phase;
   RingBuffer& in = connection.stream->in();
   const bool last = !connection.keep_alive && connection.phase == Phase::answering;
   if (connection.phase == Phase::parting || last) {
     in.clear();
-    return connection.stream->resume_reading();
+    return;
   }
   while (!in.empty() && connection.phase == Phase::reading && !connection.stream->is_closed()) {
     if (!connection.parser.has_started()) connection.since = loop_.now();
@@ -103,7 +127,25 @@
                    {connection.parser.error_status(), R"({"error":"the request cannot be read"})"}, false);
     dispatch(connection);
   }
-  if (!connection.stream->is_closed()) connection.stream->resume_reading();
+}
+
+std::optional<Duration> JsonServer::releasable_since(const Connection& connection) const {
+  using Phase = Connection::Phase;
+  if (connection.stream->is_closed() || connection.phase == Phase::waiting) return std::nullopt;
+  const bool is_unread = connection.phase == Phase::answering && !connection.stream->out().empty();
+  const bool is_receiving = connection.phase == Phase::reading && connection.parser.has_started();
+  return is_unread || is_receiving || connection.phase == Phase::parting ? std::optional(connection.since)
+                                                                         : std::nullopt;
+}
+
+void JsonServer::update_memory(Connection& connection) {
+  connection.memory.update(connection.stream->held_bytes() + connection.parser.held_bytes(),
+                           releasable_since(connection));
+}
+
+void JsonServer::release_memory(Connection& connection) {
+  if (connection.phase != Connection::Phase::reading) return drop(connection);
+  write(connection, {503, R"({"error":"no room"})"}, false);
 }
 
 void JsonServer::dispatch(Connection& connection) {
@@ -128,8 +170,10 @@
   connection.since = loop_.now();
   const std::string text =
       format_response(reply.status, "application/json", reply.body + "\n", keep_alive, Duration{});
+  connection.parser.reset();
   if (!connection.stream->out().append(text)) return drop(connection);
   connection.stream->flush();
+  update_memory(connection);
 }
 
 // Ends a phase that has exceeded its time limit.
--- a/src/net/json_server.h
+++ b/src/net/json_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "net/http.h"
 #include "net/listener.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 #include "net/socket.h"
 
 namespace marbledyke::net {
@@ -33,9 +35,10 @@
  public:
   using ConnectionId = std::uint64_t;  // unique over the server's lifetime
   struct Limits {
-    std::size_t max_connections = 64;        // further ones wait in the backlog
-    std::size_t max_body_bytes = 64 * 1024;  // of a request
-    Duration reply_timeout = 10s;            // without a reply within this, the server sends 503
+    std::size_t max_connections = 64;               // further ones wait in the backlog
+    std::size_t max_body_bytes = 64 * 1024;         // of a request
+    Duration reply_timeout = 10s;                   // without a reply within this, the server sends 503
+    std::size_t max_held_bytes = 64 * 1024 * 1024;  // of all connections; see MemoryBudget
   };
   struct Callbacks {
     // The owner calls send_reply(), within this call or later. The connection carries no other request before
@@ -54,12 +57,18 @@
 
   void send_reply(ConnectionId id, const JsonReply& reply);
   std::size_t connection_count() const { return connections_.size(); }
+  std::size_t held_bytes() const { return memory_.used(); }
 
  private:
   struct Connection;
   void on_accepted(Descriptor fd);
   void on_data(Connection& connection);
   void on_drained(Connection& connection);
+  void read_requests(Connection& connection);
+  void serve_next_request(ConnectionId id);
+  std::optional<Duration> releasable_since(const Connection& connection) const;
+  void update_memory(Connection& connection);
+  void release_memory(Connection& connection);
   void dispatch(Connection& connection);
   void write(Connection& connection, const JsonReply& reply, bool keep_alive);
   void drop(Connection& connection);
@@ -69,6 +78,7 @@
   Loop& loop_;
   Limits limits_;
   Callbacks callbacks_;
+  MemoryBudget memory_;
   std::string path_;  // of a Unix socket's file
   std::unique_ptr<Listener> listener_;
   std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
@@ -76,6 +86,8 @@
       closed_;  // destroyed in a later turn, as their callbacks may be running
   ConnectionId next_id_ = 1;
   Loop::Timer sweep_timer_{};
+  // Expires with this object, for timers that may outlive it.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
 
 }  // namespace marbledyke::net
--- a/tests/memory_traces.cpp
+++ b/tests/memory_traces.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/json_server.h"
 #include "net/memory_budget.h"
 #include "scene.h"
 #include "search_scene.h"
@@ -146,6 +147,37 @@
   half_searches<z3950::Front>(begin + std::string(50'000, 'x'), "no room");
 }
 
+// Clients of a JSON server that stop half way through a large body.
+void half_json_requests() {
+  constexpr std::size_t kHeldBytes = 1024 * 1024;
+  net::Loop loop;
+  const auto where = *net::parse_address(address(1));
+  net::JsonServer::Limits limits;
+  limits.max_held_bytes = kHeldBytes;
+  int requests = 0;
+  net::JsonServer server(
+      loop, where, limits,
+      {[&](net::JsonServer::ConnectionId, const net::JsonRequest&) { requests += 1; }, nullptr});
+  const auto run_turns = [&](int turns) {
+    for (int turn = 0; turn < turns; ++turn) {
+      loop.call_at(loop.now(), [] {});
+      loop.run_once();
+    }
+  };
+  std::list<Connection> clients;
+  for (std::size_t i = 0; i < limits.max_connections; ++i) {
+    clients.push_back({net::start_connect(where)});
+    clients.back().write(head("m", kLargeTextBytes) + std::string(kLargeTextBytes - 1, 'x'));
+    run_turns(5);
+  }
+  print(server.held_bytes() <= kHeldBytes ? "within the budget" : "BEYOND THE BUDGET");
+  print(clients.front().read_available().find("503") != std::string::npos ? "the oldest is refused at once"
+                                                                          : "THE OLDEST IS NOT REFUSED");
+  clients.back().write("x");
+  run_turns(5);
+  print("requests taken: " + std::to_string(requests));
+}
+
 // Every place of a front is held by a client that stops half way. Clients that connect one after the other
 // before they send anything are served all the same, and those that give way are told so. Guards against
 // usual clients that are closed in favour of the next one.
@@ -245,6 +277,7 @@
                                                       {"pipelined_requests", pipelined_requests},
                                                       {"half_sru_requests", half_sru_requests},
                                                       {"half_z3950_messages", half_z3950_messages},
+                                                      {"half_json_requests", half_json_requests},
                                                       {"sru_places_held", sru_places_held},
                                                       {"z3950_places_held", z3950_places_held}};
   for (const auto& [name, run] : cases) {
