An id of a non-retriable multiget that may have run is refused when it comes again

Cause: an id was in hand until its last send had ended; a cancelled send ends at once although its part may be running. Change: ReservedIds keeps such ids for the longest route timeout after the last send has ended, a bounded number by the memory of the settings. Ruled out: ids of parts that never ran (pushed back, not connected, not sent) are free at once, so a request sent again because its connection was closing is taken as before.

--- a/src/gatherer/gatherer.cpp
+++ b/src/gatherer/gatherer.cpp
@@ -37,6 +37,8 @@
 // Clients may make the process hold this part of its memory. The rest is for the program, the list, shard
 // servers, what the allocator cannot use again, and requests while they are parsed.
 constexpr std::size_t kClientMemoryDivisor = 4;
+// One id is reserved for so much of the memory; an id and its entries take a few hundred bytes.
+constexpr std::size_t kMemoryBytesPerReservedId = 16 * 1024;
 
 // Returns the number of descriptors for clients: those that the listed servers do not need, but at least half
 // of all.
@@ -78,7 +80,8 @@
       list_watch_(loop_, gatherer_config, unix_start_,
                   {[this](list::ListUpdate news) { list_updates_.push_back(std::move(news)); },
                    [this](Duration most_backoff) { list_refusals_.push_back(most_backoff); }}),
-      pending_(static_cast<std::size_t>(gatherer_config.settings.max_pending)) {
+      pending_(static_cast<std::size_t>(gatherer_config.settings.max_pending)),
+      ids_that_may_have_run_(gatherer_config.memory_bytes / kMemoryBytesPerReservedId) {
   loop_.report_long_turns(kLongTurnThreshold, [this](const net::Loop::Turn& turn) {
     long_turn_event_.write(
         {{"ms", turn.duration / 1ms}, {"processor_ms", turn.cpu_time / 1ms}, {"in_hand", unanswered_}});
@@ -424,7 +427,7 @@
     }
     return fronts_[front]->refuse(request.caller, front::Refusal::at_capacity, {});
   }
-  if (by_request_id_.contains(multiget.id)) {
+  if (by_request_id_.contains(multiget.id) || ids_that_may_have_run_.contains(multiget.id, loop_.now())) {
     return fronts_[front]->refuse(request.caller, front::Refusal::duplicate_id, {});
   }
   const std::uint32_t number = next_number_++;
@@ -483,6 +486,9 @@
   if (!check_invariant(mg != nullptr, "a send that ends belongs to a multiget in hand")) return;
   Part& part = mg->parts[at];
   mg->sends_out -= 1;
+  const bool never_ran = ended.fate == SendOutcome::pushed_back || ended.fate == SendOutcome::dial_failed ||
+                         ended.fate == SendOutcome::unused;
+  if (!never_ran) mg->may_have_run = true;
   if (ended.fate == SendOutcome::revoked || ended.fate == SendOutcome::expired ||
       ended.fate == SendOutcome::dropped)
     mg->last_abandoned = std::max(mg->last_abandoned, loop_.now() - ended.elapsed);
@@ -499,6 +505,9 @@
   if (!mg.is_answered || mg.sends_out > 0) return;
   pending_count_ -= 1 + static_cast<int>(mg.parts.size());
   by_request_id_.erase(mg.request_id);
+  // A send that was cancelled or lost may still be running at its server.
+  if (mg.non_retriable && mg.may_have_run)
+    ids_that_may_have_run_.reserve(mg.request_id, loop_.now() + gatherer_config_.settings.max_route_timeout);
   const int slot = pending_.find(mg.id);
   pending_.erase(slot);
   pending_.at(slot) = {};  // frees its text and values now; the slot may not be used again for long
--- a/src/gatherer/gatherer.h
+++ b/src/gatherer/gatherer.h
@@ -16,6 +16,7 @@
 #include "config/gatherer_config.h"
 #include "decision_engine.h"
 #include "front/front.h"
+#include "gatherer/reserved_ids.h"
 #include "list/discovery_client.h"
 #include "log/log.h"
 #include "model/slot_map.h"
@@ -88,6 +89,7 @@
     int step = 1;
     bool is_first_step_complete = false;
     bool is_answered = false;
+    bool may_have_run = false;  // a part of it, as far as its ended sends tell
     int sends_out = 0;
     Duration last_send = Duration::min() / 2;  // when the latest send was handed out
     Duration last_abandoned =
@@ -163,6 +165,7 @@
   std::uint32_t next_number_ = 1;
   std::map<std::pair<std::size_t, std::uint64_t>, RequestId> by_caller_;
   std::map<std::string, RequestId, std::less<>> by_request_id_;
+  ReservedIds ids_that_may_have_run_;
   std::vector<RequestId> second_steps_to_submit_;  // whose parts are submitted in the next turn
   std::vector<list::ListUpdate> list_updates_;
   std::vector<Duration> list_refusals_;  // upper bounds of the backoff after refused list requests
--- a/tests/crossing_traces.cpp
+++ b/tests/crossing_traces.cpp
@@ -645,18 +645,49 @@
             : "RESET");
 }
 
+constexpr Duration kShortDeadline = 2s;
+const Changes kShortDeadlines{{R"("draft","deadline":60000000)", R"("draft","deadline":2000000)"},
+                              {R"("issue","deadline":60000000)", R"("issue","deadline":2000000)"}};
+
+// A client disconnects, and its non-retriable part, which was written, is cancelled. The part may run all the
+// same, so that the id is refused when it comes again, until its longest time is over. Guards against a part
+// that runs twice (issue 54).
+void left_and_again() {
+  FakeShardServer server(11);
+  ManualClock clock;
+  Scene scene(list_entry("A", 11), clock, kShortDeadlines);
+  scene.fake_servers = {&server};
+  Client departing, again;
+  departing.send("m", "issue", kOnePart);
+  scene.next_frame(server, "shard server");
+  departing.connection.fd.close();
+  scene.next_frame(server, "shard server");
+  again.send("m", "issue", kOnePart);
+  scene.advance(20ms);
+  print("frames for the same id: " + std::to_string(server.frames.size()));
+  if (again.answered()) scene.print_answer(again, "the same id");
+  scene.advance(kShortDeadline);
+  Client later;
+  later.send("m", "issue", kOnePart);
+  const auto frame = scene.next_frame(server, "later: shard server");
+  server.answer(frame.connection, "m.1", "S 1 -", "v");
+  scene.print_answer(later, "the same id later");
+}
+
 // A request that was sent while its connection was being closed is sent again on a new one, with the same id:
 // it was never read, so it is accepted. A request whose id still has an outstanding part is refused and sent
-// nowhere, since answers could not be told apart and a non-retriable part could run twice. After that the id
-// is free again.
+// nowhere, since answers could not be told apart and a non-retriable part could run twice. One that has run
+// is refused until its longest time is over; after that the id is free again.
 void same_id_again() {
   FakeShardServer server(11);
   ManualClock clock;
-  Scene scene(list_entry("A", 11), clock, {{R"("cancel":true)", R"("cancel":false)"}});
+  Changes changes = kShortDeadlines;
+  changes.push_back({R"("cancel":true)", R"("cancel":false)"});
+  Scene scene(list_entry("A", 11), clock, changes);
   scene.fake_servers = {&server};
   Client silent;
   scene.advance(3s);
-  Client again, departing, early, later;
+  Client again, departing, early, soon;
   silent.send("m1", "issue", kOnePart);
   scene.run_until("its end",
                   [&] { return silent.connection.read_available().empty() && silent.connection.ended; });
@@ -672,6 +703,10 @@
   scene.print_answer(early, "while a part is outstanding");
   server.answer(frame.connection, "m2.1", "S 1 -", "v");
   scene.advance(20ms);
+  soon.send("m2", "issue", kOnePart);
+  scene.print_answer(soon, "while it may have run");
+  scene.advance(kShortDeadline);
+  Client later;
   later.send("m2", "issue", kOnePart);
   frame = scene.next_frame(server, "shard server");
   server.answer(frame.connection, "m2.1", "S 1 -", "w");
@@ -729,6 +764,7 @@
                                                       {"descriptors_taken", descriptors_taken},
                                                       {"accepted_late", accepted_late},
                                                       {"same_id_again", same_id_again},
+                                                      {"left_and_again", left_and_again},
                                                       {"long_turn", long_turn}};
   for (const auto& [name, run] : cases) {
     if (std::strcmp(name, words[1]) == 0) {
