Result sets count with their queries, and are bounded by the process's memory

Cause: kept-bytes counted only the records of sets that may not run again, and its default of 16 MiB is half of the least memory. Change: a set counts with its query, hits and records; all listeners together keep an eighth of limits.memory_mb at most. Not shown with a process.

--- a/src/command/search_main.cpp
+++ b/src/command/search_main.cpp
@@ -12,20 +12,26 @@
 
 using namespace marbledyke;
 
+constexpr std::size_t kSetMemoryDivisor = 8;
+
 void extend(gatherer::Gatherer& gatherer, const search::Terms& terms,
             const config::GathererConfig& gatherer_config) {
   // Half of the descriptors are for the fronts together; what they hold idle they give up when it is needed.
-  const std::size_t most = std::max<std::size_t>(static_cast<std::size_t>(gatherer_config.max_sockets) / 2 /
-                                                     std::max<std::size_t>(terms.listeners.size(), 1),
-                                                 8);
+  const std::size_t listener_count = std::max<std::size_t>(terms.listeners.size(), 1);
+  const std::size_t most =
+      std::max<std::size_t>(static_cast<std::size_t>(gatherer_config.max_sockets) / 2 / listener_count, 8);
+  // An eighth of the memory is for the result sets of all listeners.
+  search::Terms bounded = terms;
+  bounded.limits.kept =
+      std::min(terms.limits.kept, gatherer_config.memory_bytes / kSetMemoryDivisor / listener_count);
   std::uint32_t seed = gatherer_config.seed;
   for (const search::Listener& one : terms.listeners) {
     ++seed;
     if (one.protocol == search::Protocol::sru) {
-      gatherer.add(std::make_unique<sru::Front>(gatherer.loop(), gatherer.client_memory(), terms,
+      gatherer.add(std::make_unique<sru::Front>(gatherer.loop(), gatherer.client_memory(), bounded,
                                                 gatherer_config.settings, one.address, seed, most));
     } else {
-      gatherer.add(std::make_unique<z3950::Front>(gatherer.loop(), gatherer.client_memory(), terms,
+      gatherer.add(std::make_unique<z3950::Front>(gatherer.loop(), gatherer.client_memory(), bounded,
                                                   gatherer_config.settings, one.address, seed, most));
     }
   }
--- a/src/search/desk.cpp
+++ b/src/search/desk.cpp
@@ -55,6 +55,11 @@
 
 }  // namespace
 
+std::size_t Desk::set_bytes(const Set& set) {
+  return sizeof set + held_bytes(set.query) + set.name.capacity() + set.sort.capacity() * sizeof(SortKey) +
+         (set.hits.capacity() + set.place.shards.capacity()) * sizeof(set.hits[0]);
+}
+
 Desk::Desk(const Terms& terms, const config::ServiceSettings& settings, std::uint32_t seed)
     : terms_(terms), limits_(terms.limits), settings_(settings), chance_(seed) {
   const auto resolve = [&](const std::string& where, const std::string& op_type,
@@ -605,6 +610,7 @@
     set->total += result.hits;
     running.have[shard] = {0, result.records};
   }
+  set->kept_bytes = set_bytes(*set);
   if (set->once) {
     for (const auto& [shard, result] : in.by_shard) {
       for (const Record& record : result.records) set->kept_bytes += size_of(record);
--- a/src/search/desk.h
+++ b/src/search/desk.h
@@ -156,7 +156,7 @@
     bool whole = true;
     int shards = 0, answered = 0;             // of its search
     std::map<int, std::vector<Record>> kept;  // once: by shard
-    std::size_t kept_bytes = 0;
+    std::size_t kept_bytes = 0;               // with all of the above
     Duration life{}, used{};
     std::uint64_t use = 0;  // its place among all uses
     Session owner = 0;
@@ -214,7 +214,7 @@
   void unlist(const SetRef& set, bool unasked);
   void use(const SetRef& set);
   void evict();
-  bool keep(Set& set, const Answers& in);
+  static std::size_t set_bytes(const Set& set);
 
   Terms terms_;
   const Limits limits_;
--- a/src/search/terms.h
+++ b/src/search/terms.h
@@ -43,7 +43,7 @@
   std::size_t sessions = 1000;
   std::size_t sets = 20;  // of one session
   std::size_t all_sets = 5000;
-  std::size_t kept = 16 * 1024 * 1024;  // bytes of records kept with sets whose search may not run again
+  std::size_t kept = 16 * 1024 * 1024;  // bytes of all sets, with the records of those that may not run again
   Duration set_life{600'000'000};       // a set that nobody uses for so long is forgotten
   Duration idle{300'000'000};           // and a session that says nothing
   std::size_t operations = 4;           // of one session under way
--- a/tests/search_traces.cpp
+++ b/tests/search_traces.cpp
@@ -191,7 +191,10 @@
 }
 
 struct Bench {
-  Bench() : its(settings()), desk(terms(), its, 7), catalogue(40, 4) { desk.clock(now); }
+  explicit Bench(const search::Terms& its_terms = terms())
+      : its(settings()), desk(its_terms, its, 7), catalogue(40, 4) {
+    desk.clock(now);
+  }
 
   void pass(Duration time) {
     now += time;
@@ -467,6 +470,23 @@
               shortest > kGuessableDigits ? "of 128 bits or more" : "SHORT ENOUGH TO GUESS");
 }
 
+// Guards against memory that grows with each search under a new name: sets count with their queries.
+void set_memory() {
+  constexpr std::size_t kKeptBytes = 100'000;
+  search::Terms narrow = terms();
+  narrow.limits.sets = narrow.limits.all_sets = 1000;
+  narrow.limits.kept = kKeptBytes;
+  Bench b(narrow);
+  const auto s = *b.desk.open();
+  std::string query = "dc.title = lease";
+  for (int i = 0; i < 40; ++i) query += " or dc.title = word" + std::to_string(i);
+  for (int i = 0; i < 200; ++i) search_unnamed(b, s, query);
+  std::printf("sets kept of 200 with long queries: %s\n", b.desk.sets() == 0   ? "NONE"
+                                                          : b.desk.sets() < 20 ? "a few"
+                                                                               : "TOO MANY");
+  std::printf("%s\n", b.desk.kept_bytes() <= kKeptBytes ? "within their bytes" : "BEYOND THEIR BYTES");
+}
+
 // ---- SRU ----
 
 net::HttpMessage get(const std::string& target) {
@@ -757,9 +777,9 @@
 int main(int count, char** argv) {
   const std::string what = count > 1 ? argv[1] : "";
   const std::pair<const char*, void (*)()> cases[] = {
-      {"cql", cql_cases}, {"ber", ber_cases},     {"pages", pages},         {"partial", partial},
-      {"once", once},     {"bounds", bounds},     {"set_names", set_names}, {"sru", sru_cases},
-      {"talks", talks},   {"carriers", carriers}, {"damage", damage}};
+      {"cql", cql_cases}, {"ber", ber_cases}, {"pages", pages},         {"partial", partial},
+      {"once", once},     {"bounds", bounds}, {"set_names", set_names}, {"set_memory", set_memory},
+      {"sru", sru_cases}, {"talks", talks},   {"carriers", carriers},   {"damage", damage}};
   for (const auto& [name, run] : cases) {
     if (what == name) return run(), 0;
   }
