Memory budget: idle connections do not count; unread answers are forced in a test

Cause: the first form of the budget counted the 4 KiB that a connection's buffer keeps while it is empty. With many more descriptors than memory (64 MB, 16,384) idle connections would have used the budget up, and every request been refused. Change: only what a buffer occupies beyond that counts.

--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -17,8 +17,8 @@
   std::size_t size() const { return size_; }
   bool empty() const { return size_ == 0; }
   bool full() const { return size_ == max_size_; }
-  // Returns the bytes of memory that the buffer occupies.
-  std::size_t capacity() const { return capacity_; }
+  // Returns the bytes of memory that the buffer occupies beyond the least, which it keeps while it is empty.
+  std::size_t extra_bytes() const { return capacity_ > kMinCapacity ? capacity_ : 0; }
 
   // Returns the first contiguous run of the bytes held; valid until the next change.
   std::string_view front() const { return {bytes_.get() + start_, std::min(size_, capacity_ - start_)}; }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -40,8 +40,8 @@
 
   RingBuffer& in() { return in_; }
   RingBuffer& out() { return out_; }
-  // Returns the bytes of memory that both buffers occupy.
-  std::size_t held_bytes() const { return in_.capacity() + out_.capacity(); }
+  // Returns the bytes of memory that both buffers occupy beyond what each connection takes.
+  std::size_t held_bytes() const { return in_.extra_bytes() + out_.extra_bytes(); }
   bool is_connected() const { return connected_; }
   bool is_closed() const { return !fd_; }
   // Whether the stream ended otherwise than by the peer's orderly close.
--- a/tests/memory_traces.cpp
+++ b/tests/memory_traces.cpp
@@ -112,6 +112,42 @@
                                                                 : "MEMORY IS HELD FOR CLIENTS THAT LEFT");
 }
 
+// Clients that ask again and again for large answers and read none of them.
+void unread_answers() {
+  constexpr int kClients = 24;
+  constexpr int kMaxRounds = 80;  // until the kernel holds no more for any of them
+  const std::string kFourParts =
+      R"([{"slice":0,"mass":0.25},{"slice":1,"mass":0.25},{"slice":2,"mass":0.25},{"slice":3,"mass":0.25}])";
+  FakeShardServer server(11);
+  ManualClock clock;
+  Scene scene(list_entry("A", 11), clock, kLeastMemory);
+  scene.fake_servers = {&server};
+  std::list<Client> clients(kClients);
+  const net::MemoryBudget& memory = scene.gatherer.client_memory();
+  int number = 0;
+  std::size_t most = 0;
+  for (int round = 0; round < kMaxRounds && memory.released_count() == 0; ++round) {
+    for (Client& client : clients) {
+      if (client.connection.ended) continue;
+      const std::string id = "m" + std::to_string(number++);
+      client.send(id, "issue", kFourParts);
+      scene.advance(2ms);
+      server.frames.clear();
+      for (int shard = 0; shard < 4; ++shard) {
+        for (Connection& connection : server.connections)
+          server.answer(&connection, id + '.' + std::to_string(shard), "S 1 -",
+                        std::string(kLargeTextBytes, 'v'));
+        scene.advance(1ms);
+      }
+      scene.advance(55ms);  // an answer to a part sent less than 50 ms ago would be held
+      most = std::max(most, memory.used());
+    }
+  }
+  print(most <= kBudgetBytes ? "within the budget" : "BEYOND THE BUDGET");
+  print(memory.released_count() > 0 ? "unread answers are given up" : "NO ANSWER IS GIVEN UP");
+  serve_usual_client(scene, server);
+}
+
 // Clients of a front for searching that send these bytes, half of a large request, and stop. `refusal` is in
 // the answer of those that do not fit.
 template <class Front>
@@ -218,6 +254,25 @@
   places_held<z3950::Front>(init.substr(0, 5), init, "no room");
 }
 
+// Connections that have been used and are idle do not count, however many there are.
+void idle_connections() {
+  FakeShardServer server(11);
+  ManualClock clock;
+  Scene scene(list_entry("A", 11), clock, kLeastMemory);
+  scene.fake_servers = {&server};
+  std::list<Connection> clients;
+  for (int i = 0; i < kManyClients; ++i) {
+    clients.push_back({net::start_connect(*net::parse_address(address(1)))});
+    clients.back().write("GET /healthz HTTP/1.1\r\n\r\n");
+  }
+  scene.advance(20ms);
+  print_count("answered", std::count_if(clients.begin(), clients.end(), [](Connection& client) {
+                return client.read_available().find("200") != std::string::npos;
+              }));
+  const bool is_little = scene.gatherer.client_memory().used() < kManyClients * 100;
+  print(is_little ? "idle connections do not count" : "IDLE CONNECTIONS COUNT");
+}
+
 // Clients that send much behind a request that is pending.
 void pipelined_requests() {
   FakeShardServer server(11);
@@ -275,6 +330,8 @@
                                                       {"half_requests", half_requests},
                                                       {"large_requests", large_requests},
                                                       {"pipelined_requests", pipelined_requests},
+                                                      {"unread_answers", unread_answers},
+                                                      {"idle_connections", idle_connections},
                                                       {"half_sru_requests", half_sru_requests},
                                                       {"half_z3950_messages", half_z3950_messages},
                                                       {"half_json_requests", half_json_requests},
